--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"ringdale/internal/wire"
+	"wellgw/internal/wire"
 )
 
 func main() {
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"ringdale"
+	"wellgw/ringdale"
 )
 
 // options mirrors the settings object of the dialect. Unknown keys are ignored.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"io"
 	"time"
 
-	"ringdale"
+	"wellgw/ringdale"
 )
 
 // inLine is any line of a batch; absent fields keep their zero values.
--- a/example_test.go
+++ b/ringdale/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"ringdale"
+	"wellgw/ringdale"
 )
 
 func Example() {
