--- /dev/null
+++ b/internal/config/platform.go
@@ -0,0 +1,140 @@
+// Package config reads the gateway's configuration: the platform's object, and
+// the operator's file for the chat front.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"wellgw/internal/wire"
+	"wellgw/ringdale"
+)
+
+// ListEntry is an engine in discovery's form.
+type ListEntry struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// List is discovery's list, whole or as changes.
+type List struct {
+	Revision int64       `json:"revision"`
+	Complete bool        `json:"complete"`
+	Members  []ListEntry `json:"members"`
+}
+
+// Limits are what the machine gives the gateway.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Platform is the platform's configuration.
+type Platform struct {
+	Name      string       `json:"name"`
+	Listen    string       `json:"listen"`
+	Discovery string       `json:"discovery"`
+	Seed      string       `json:"seed"`
+	Limits    Limits       `json:"limits"`
+	Known     List         `json:"known"`
+	Options   wire.Options `json:"settings"`
+}
+
+// The limits of a scored day stand in for absent ones.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+)
+
+// ReadPlatform reads the object that EDGE_CONFIG names; the other variables of
+// the platform come before what the object says. An error names the field.
+func ReadPlatform(env func(string) string) (*Platform, error) {
+	path := env("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG: not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	return ParsePlatform(raw, env)
+}
+
+// ParsePlatform is ReadPlatform on the object's text.
+func ParsePlatform(raw []byte, env func(string) string) (*Platform, error) {
+	p := &Platform{}
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, p); err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	for name, field := range map[string]*string{"EDGE_NAME": &p.Name, "EDGE_LISTEN": &p.Listen, "EDGE_DISCOVERY": &p.Discovery} {
+		if v := env(name); v != "" {
+			*field = v
+		}
+	}
+	if p.Limits.Cores <= 0 {
+		p.Limits.Cores = 1
+	}
+	if p.Limits.MemoryMB <= 0 {
+		p.Limits.MemoryMB = defaultMemoryMB
+	}
+	if p.Limits.Sockets <= 0 {
+		p.Limits.Sockets = defaultSockets
+	}
+	for _, a := range []struct{ field, value string }{{"listen", p.Listen}, {"discovery", p.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.field, err)
+		}
+	}
+	if _, err := p.SeedNumber(); err != nil {
+		return nil, err
+	}
+	if _, err := ringdale.New(p.Settings(), 0); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return p, nil
+}
+
+// SeedNumber is the seed for random numbers.
+func (p *Platform) SeedNumber() (uint64, error) {
+	if p.Seed == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(p.Seed, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("seed: %w", err)
+	}
+	return n, nil
+}
+
+// Settings are what the decision module is given. Over HTTP every refusal can
+// carry Retry-After, also where the simulator's clients are given no advice.
+func (p *Platform) Settings() ringdale.Settings {
+	s := p.Options.Settings()
+	s.CanRetryAfter = true
+	if s.MaxRetryAfter <= 0 {
+		s.MaxRetryAfter = 2 * time.Second
+	}
+	return s
+}
+
+// LongestWait is the longest time that a client waits for a first token.
+func (p *Platform) LongestWait() time.Duration {
+	longest := 3 * time.Second
+	for _, c := range p.Options.Classes {
+		longest = max(longest, wire.Micros(c.Limit))
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/core/api.go
@@ -0,0 +1,168 @@
+// Package core carries requests from a front to the engines that the decision
+// module names, and their outcomes back. It knows no wire: fronts hand it
+// requests and take answers, engines make attempts and report how they went.
+//
+// One goroutine owns the module, the clock, the timers and the table of
+// requests. All others reach it through one queue, and it never waits for I/O.
+package core
+
+import (
+	"context"
+	"time"
+
+	"wellgw/ringdale"
+)
+
+// Request is what a front has taken from a client.
+type Request struct {
+	ringdale.Request        // the core fills in ID; TTL counts from Arrived
+	Wire             string // the id by which client and engines know it
+	Arrived          time.Time
+	Payload          Payload
+}
+
+// Payload is what the engines get to see of a request. The core only passes it on.
+type Payload struct {
+	Method, Target string
+	Body           []byte
+}
+
+// Verdict says which final answer a request gets.
+type Verdict uint8
+
+// The final answers.
+const (
+	Refused Verdict = iota // not done, and trying again is harmless
+	Failed                 // nothing is promised
+	Overdue                // failed by the core itself: the deadline has passed
+	Serving                // the events of one attempt follow
+)
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Verdict    Verdict
+	RetryAfter time.Duration // with Refused: when to come back; 0 = no advice
+	Stream     Stream        // with Serving; the front must call Relay
+	Status     ringdale.Status
+}
+
+// Front takes the one final answer to a request. Answer must not block.
+type Front interface {
+	Answer(Answer)
+}
+
+// Stream is an attempt's answer from its first event on.
+type Stream interface {
+	// Read returns events as they come, io.EOF after the last chunk only.
+	Read(p []byte) (int, error)
+	// Result tells what the stream said of itself; it is valid once Read has
+	// returned an error.
+	Result() Result
+	// Close gives the rest up. It may be called at any time, and twice.
+	Close() error
+}
+
+// Result is how an attempt ended at its engine.
+type Result struct {
+	Status  ringdale.Status
+	Kept    int  // prompt tokens found kept
+	NoState bool // with StatusFull: there was no state to fetch
+	Report  *ringdale.Report
+	Cause   error // for the log
+}
+
+// Attempt is one try at one engine.
+type Attempt struct {
+	Wire    string
+	Number  int
+	Addr    string
+	Engine  ringdale.ServerInfo
+	Limit   time.Duration // how long the gateway will wait
+	Payload Payload
+}
+
+// Engine makes attempts. No method blocks; what comes of a call is told later,
+// from another goroutine.
+type Engine interface {
+	// Start sends the request. One of first and ended is called once: first when
+	// events begin to come, ended when the attempt is over without any. The
+	// function returned gives the attempt up and closes its connection at once.
+	Start(a Attempt, first func(Stream), ended func(Result)) (cancel func())
+	// Release lets go of all that an engine holds for a request, trying again
+	// until it has been told or the time is over.
+	Release(addr, wire string, until time.Time, done func(error))
+	// Probe asks an engine for its load.
+	Probe(addr string, done func(ringdale.Status, *ringdale.Report))
+}
+
+// Directory tells the core which engines there are, through Core.Roster.
+type Directory interface {
+	// Subscribe asks for changes from now on, where they come only on request.
+	Subscribe()
+}
+
+// Member is an engine as a directory knows it.
+type Member struct {
+	ringdale.ServerInfo
+	Addr      string
+	StartedAt time.Time // last start; zero means long ago
+}
+
+// Figures are what the core itself needs of the settings.
+type Figures struct {
+	Slack    time.Duration // past the deadline an answer still counts for this long
+	PinLimit time.Duration // longest a state may be held with no attempt out
+	MaxSends int           // attempts for one request
+}
+
+// Submit hands a request to the core, which will call f.Answer exactly once
+// unless Gone is said first. The ticket names the request from then on.
+func (c *Core) Submit(q Request, f Front) *Ticket {
+	t := &Ticket{core: c}
+	c.post(func() { c.submit(t, q, f) })
+	return t
+}
+
+// Ticket names a request that the core has taken.
+type Ticket struct {
+	core *Core
+	q    *request // owned by the core's goroutine
+}
+
+// Gone tells that the client has left before its answer.
+func (t *Ticket) Gone() { t.core.post(func() { t.core.gone(t.q) }) }
+
+// finish tells how the stream of a Serving answer ended. Relay calls it.
+func (t *Ticket) finish(r Result) { t.core.post(func() { t.core.streamEnded(t.q, r) }) }
+
+// Relay passes a stream's events to write until it ends, and tells the core how.
+// It returns nil only if the whole stream was passed on. When ctx ends, the
+// client has gone: the attempt is closed at once, though no event may come.
+func (t *Ticket) Relay(ctx context.Context, s Stream, write func([]byte) error) error {
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	defer s.Close()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := s.Read(buf)
+		if n > 0 {
+			if werr := write(buf[:n]); werr != nil {
+				s.Close()
+				t.finish(Result{Status: ringdale.StatusCancelled, Cause: werr})
+				return werr
+			}
+		}
+		if err == nil {
+			continue
+		}
+		r := s.Result()
+		if ctx.Err() != nil && r.Status != ringdale.StatusServed {
+			r.Status = ringdale.StatusCancelled
+		}
+		t.finish(r)
+		if r.Status == ringdale.StatusServed {
+			return nil
+		}
+		return err
+	}
+}
--- /dev/null
+++ b/internal/core/await.go
@@ -0,0 +1,35 @@
+package core
+
+import (
+	"context"
+	"math"
+	"strconv"
+	"time"
+)
+
+// waiter is a Front for a caller that waits for the answer itself.
+type waiter chan Answer
+
+// Answer never blocks: there is room for the one answer.
+func (w waiter) Answer(a Answer) { w <- a }
+
+// Await submits a request and waits for its answer. If ctx ends first the client
+// has gone; the core is told, and the last result is false.
+func Await(ctx context.Context, c *Core, q Request) (Answer, *Ticket, bool) {
+	w := make(waiter, 1)
+	t := c.Submit(q, w)
+	select {
+	case a := <-w:
+		return a, t, true
+	case <-c.done:
+		return Answer{Verdict: Failed}, t, true
+	case <-ctx.Done():
+		t.Gone()
+		return Answer{}, t, false
+	}
+}
+
+// RetryAfter words advice in seconds, with decimals, never as zero.
+func RetryAfter(d time.Duration) string {
+	return strconv.FormatFloat(math.Ceil(d.Seconds()*1000)/1000, 'f', -1, 64)
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,479 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"wellgw/internal/invariant"
+	"wellgw/ringdale"
+)
+
+// The core's own margins; all else is the module's to decide.
+const (
+	queueSize    = 4096
+	strayAgain   = 150 * time.Millisecond // a second release, should a read have ended as it was given up
+	releaseLimit = 4                      // times the pin limit for which a release is tried
+	clockOrigin  = 24 * time.Hour         // the module's clock at the start, so that no time of it is 0
+)
+
+// Core owns one Router and all requests in hand.
+type Core struct {
+	router    *ringdale.Router
+	engine    Engine
+	directory Directory
+	fig       Figures
+	log       *slog.Logger
+	checks    *invariant.Checks
+	origin    time.Time
+
+	queue chan func()
+	done  chan struct{}
+	ready atomic.Bool
+
+	// Owned by the goroutine of Run.
+	members  map[string]Member
+	requests map[ringdale.RequestID]*request
+	wires    map[string]bool
+	lastID   ringdale.RequestID
+	timers   timers
+	pending  []ringdale.Event
+	settling []*request
+	releases int
+	drained  []chan struct{}
+	counts   map[string]int
+}
+
+// request is one client's try, kept until it is answered and no attempt is out.
+type request struct {
+	Request
+	front     Front
+	deadline  time.Time
+	answered  bool // has had its final answer, or its client has gone
+	streaming *attempt
+	stream    Stream
+	attempts  []*attempt
+	out       int               // attempts that have not ended
+	holder    string            // the reader whose state waits, as far as is known
+	held      map[string]string // engines that may hold something, and their addresses
+	unsure    map[string]bool   // of these, those whose read may end after its release
+}
+
+type attempt struct {
+	number int
+	server ringdale.ServerInfo
+	addr   string
+	sent   time.Time
+	ended  bool
+	status ringdale.Status
+	cancel func()
+}
+
+// New returns a core round a router. Run must be called for it to work.
+func New(r *ringdale.Router, e Engine, d Directory, fig Figures, log *slog.Logger, checks *invariant.Checks) *Core {
+	return &Core{
+		router: r, engine: e, directory: d, fig: fig, log: log, checks: checks,
+		origin: time.Now().Add(-clockOrigin),
+		queue:  make(chan func(), queueSize), done: make(chan struct{}),
+		members: map[string]Member{}, requests: map[ringdale.RequestID]*request{},
+		wires: map[string]bool{}, counts: map[string]int{},
+	}
+}
+
+// Run works until ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.done)
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		alarm.Reset(c.timers.wait(time.Now()))
+		select {
+		case <-ctx.Done():
+			return
+		case job := <-c.queue:
+			job()
+			c.settle()
+		case <-alarm.C:
+		}
+		for job := c.timers.due(time.Now()); job != nil; job = c.timers.due(time.Now()) {
+			job()
+			c.settle()
+		}
+	}
+}
+
+// post puts a job into the queue; after Run has ended it is dropped.
+func (c *Core) post(job func()) {
+	select {
+	case c.queue <- job:
+	case <-c.done:
+	}
+}
+
+// Ready tells whether there is an engine to send to.
+func (c *Core) Ready() bool { return c.ready.Load() }
+
+// Drain waits until no request is in hand and no release is under way.
+func (c *Core) Drain(ctx context.Context) error {
+	ch := make(chan struct{})
+	c.post(func() { c.drained = append(c.drained, ch) })
+	select {
+	case <-ch:
+		return nil
+	case <-c.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Counts returns how often each outcome and answer came, for the log.
+func (c *Core) Counts(ctx context.Context) map[string]int {
+	ch := make(chan map[string]int, 1)
+	c.post(func() {
+		m := map[string]int{"open": len(c.requests)}
+		for k, v := range c.counts {
+			m[k] = v
+		}
+		ch <- m
+	})
+	select {
+	case m := <-ch:
+		return m
+	case <-c.done:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// Roster tells what a directory has learned.
+func (c *Core) Roster(scope ringdale.RosterScope, members []Member) {
+	c.post(func() { c.roster(scope, members) })
+}
+
+func (c *Core) roster(scope ringdale.RosterScope, members []Member) {
+	ev := ringdale.Roster{Scope: scope}
+	if scope == ringdale.RosterFull || scope == ringdale.RosterCached {
+		// An engine that has left is still known by its address: what it holds can
+		// be let go there.
+		for name, m := range c.members {
+			m.Phase = ringdale.PhaseOff
+			c.members[name] = m
+		}
+	}
+	for _, m := range members {
+		if m.CameUp = 0; !m.StartedAt.IsZero() {
+			m.CameUp = m.StartedAt.Sub(c.origin)
+		}
+		c.members[m.Name] = m
+		ev.Servers = append(ev.Servers, m.ServerInfo)
+	}
+	on := false
+	for _, m := range c.members {
+		on = on || m.Phase == ringdale.PhaseOn
+	}
+	c.ready.Store(on)
+	c.tell(ev)
+}
+
+// tell gives the module an event, carries out what it asks for, and goes on with
+// what that brings at once. Handle's result ends with the next call, so events
+// that an action brings wait in pending.
+func (c *Core) tell(ev ringdale.Event) {
+	c.pending = append(c.pending, ev)
+	if len(c.pending) > 1 {
+		return
+	}
+	for len(c.pending) > 0 {
+		for _, a := range c.router.Handle(time.Since(c.origin), c.pending[0]) {
+			c.act(a)
+		}
+		c.pending = c.pending[1:]
+	}
+	c.pending = nil
+}
+
+func (c *Core) act(action ringdale.Action) {
+	switch a := action.(type) {
+	case ringdale.Send:
+		c.send(a)
+	case ringdale.Refuse:
+		if q := c.requests[a.ID]; c.checks.Hold(q != nil, "a refusal names a request in hand") {
+			c.answer(q, Answer{Verdict: Refused, RetryAfter: a.RetryAfter, Status: q.lastStatus()})
+		}
+	case ringdale.Fail:
+		if q := c.requests[a.ID]; c.checks.Hold(q != nil, "a failure names a request in hand") {
+			c.answer(q, Answer{Verdict: Failed, Status: q.lastStatus()})
+		}
+	case ringdale.CancelAttempt:
+		if q := c.requests[a.ID]; q != nil && a.Attempt < len(q.attempts) && q.streaming != q.attempts[a.Attempt] {
+			c.end(q, q.attempts[a.Attempt], Result{Status: ringdale.StatusCancelled})
+		}
+	case ringdale.Release:
+		if q := c.requests[a.ID]; q != nil {
+			c.release(q, c.fig.PinLimit*releaseLimit)
+		}
+	case ringdale.SetTimer:
+		c.after(a.In, func() { c.tell(ringdale.TimerFired{Name: a.Name}) })
+	case ringdale.Probe:
+		c.probe(a.Server)
+	case ringdale.Subscribe:
+		c.directory.Subscribe()
+	default:
+		c.checks.Hold(false, "every action of the module is known")
+	}
+}
+
+func (c *Core) submit(t *Ticket, in Request, f Front) {
+	// Ids count up and wrap; one that is still in hand is passed over, as a stream
+	// may outlast any number of others.
+	for c.lastID++; c.requests[c.lastID] != nil; c.lastID++ {
+	}
+	in.ID = c.lastID
+	q := &request{Request: in, front: f, deadline: in.Arrived.Add(in.TTL), held: map[string]string{}, unsure: map[string]bool{}}
+	t.q = q
+	if c.wires[in.Wire] {
+		// Engines know a request by its wire id alone: two at once would share
+		// attempts and states. The first goes on; the second never ran.
+		q.answered = true
+		c.counts["duplicate id"]++
+		f.Answer(Answer{Verdict: Failed, Status: ringdale.StatusUnsent})
+		return
+	}
+	c.requests[q.ID], c.wires[in.Wire] = q, true
+	c.counts["requests"]++
+	c.settling = append(c.settling, q)
+	// The backstop guards against a request that neither the module nor an engine
+	// ever ends: it is answered inside the slack whatever else happens.
+	c.after(time.Until(q.deadline)+c.fig.Slack, func() { c.overdue(q) })
+	in.TTL = time.Until(q.deadline)
+	c.tell(in.Request)
+}
+
+// send makes an attempt, or says at once that it was not made.
+func (c *Core) send(a ringdale.Send) {
+	q := c.requests[a.ID]
+	if !c.checks.Hold(q != nil && !q.answered, "a send is for a request that awaits its answer") {
+		return
+	}
+	m, known := c.members[a.Server]
+	now := time.Now()
+	at := &attempt{number: len(q.attempts), server: m.ServerInfo, addr: m.Addr, sent: now, cancel: func() {}}
+	at.server.Name = a.Server
+	q.attempts = append(q.attempts, at)
+	q.out++
+	limit := q.deadline.Sub(now)
+	if a.Limit > 0 {
+		limit = min(limit, a.Limit)
+	}
+	unsent := limit <= 0 || len(q.attempts) > c.fig.MaxSends
+	if unsent || !c.checks.Hold(known && m.Phase == ringdale.PhaseOn, "a send goes to an engine on the list") {
+		c.end(q, at, Result{Status: ringdale.StatusUnsent})
+		return
+	}
+	c.counts["attempts"]++
+	c.after(limit, func() { c.end(q, at, Result{Status: ringdale.StatusTimeout}) })
+	at.cancel = c.engine.Start(
+		Attempt{Wire: q.Wire, Number: at.number, Addr: m.Addr, Engine: m.ServerInfo, Limit: limit, Payload: q.Payload},
+		func(s Stream) { c.post(func() { c.first(q, at, s) }) },
+		func(r Result) { c.post(func() { c.end(q, at, r) }) },
+	)
+}
+
+// first gives an attempt's stream to the client, if the client still waits for it.
+func (c *Core) first(q *request, at *attempt, s Stream) {
+	if at.ended || q.answered {
+		s.Close()
+		c.end(q, at, Result{Status: ringdale.StatusCancelled})
+		return
+	}
+	q.streaming, q.stream = at, s
+	q.holder = ""
+	q.held[at.server.Name] = at.addr // for a break; a whole stream leaves nothing
+	for _, other := range q.attempts {
+		if other != at {
+			c.end(q, other, Result{Status: ringdale.StatusCancelled})
+		}
+	}
+	c.answer(q, Answer{Verdict: Serving, Stream: s})
+	c.tell(ringdale.FirstToken{ID: q.ID, Attempt: at.number, Server: at.server.Name, Latency: time.Since(at.sent)})
+}
+
+func (c *Core) streamEnded(q *request, r Result) {
+	if at := q.streaming; at != nil {
+		q.streaming, q.stream = nil, nil
+		if r.Status == ringdale.StatusServed {
+			// The engines let go by themselves; nothing is left to release.
+			clear(q.held)
+		}
+		c.end(q, at, r)
+	}
+}
+
+// end closes an attempt and tells the module how it went, once.
+func (c *Core) end(q *request, at *attempt, r Result) {
+	if at.ended || q.streaming == at {
+		return
+	}
+	at.ended, at.status = true, r.Status
+	at.cancel()
+	q.out--
+	c.settling = append(c.settling, q)
+	c.counts[statusNames[r.Status]]++
+	c.keep(q, at, r)
+	if r.Cause != nil {
+		c.log.Debug("attempt failed", "id", q.Wire, "attempt", at.number, "engine", at.server.Name, "cause", r.Cause)
+	}
+	c.tell(ringdale.Outcome{
+		ID: q.ID, Attempt: at.number, Server: at.server.Name, Status: r.Status, Latency: time.Since(at.sent),
+		Final: q.answered, Kept: r.Kept, NoState: r.NoState, Report: r.Report,
+	})
+}
+
+// keep notes what an attempt may have left at its engine. A read that was broken
+// or given up may have ended well a moment before, so it counts as held.
+func (c *Core) keep(q *request, at *attempt, r Result) {
+	switch r.Status {
+	case ringdale.StatusRead:
+		q.holder = at.server.Name
+		q.held[at.server.Name] = at.addr
+	case ringdale.StatusTimeout, ringdale.StatusCancelled, ringdale.StatusReset, ringdale.StatusError:
+		q.held[at.server.Name] = at.addr
+		q.unsure[at.server.Name] = r.Status != ringdale.StatusError
+	case ringdale.StatusFull:
+		if r.NoState {
+			delete(q.held, q.holder)
+			q.holder = ""
+		}
+	}
+}
+
+// answer gives the final answer; a second one is a fault of the module's.
+func (c *Core) answer(q *request, a Answer) {
+	if !c.checks.Hold(!q.answered, "a request gets one final answer") {
+		return
+	}
+	q.answered = true
+	c.counts[verdictNames[a.Verdict]]++
+	c.settling = append(c.settling, q)
+	q.front.Answer(a)
+}
+
+// gone forgets a request whose client has left.
+func (c *Core) gone(q *request) {
+	if q == nil {
+		return
+	}
+	if q.streaming != nil { // the answer and the client's leaving have crossed
+		q.stream.Close()
+		c.streamEnded(q, Result{Status: ringdale.StatusCancelled})
+	}
+	if q.answered {
+		return
+	}
+	q.answered = true
+	c.counts["gone"]++
+	c.settling = append(c.settling, q)
+	c.tell(ringdale.Gone{ID: q.ID})
+}
+
+func (c *Core) overdue(q *request) {
+	if q.answered {
+		return
+	}
+	c.answer(q, Answer{Verdict: Overdue, Status: q.lastStatus()})
+	c.tell(ringdale.Gone{ID: q.ID})
+	for _, at := range q.attempts {
+		c.end(q, at, Result{Status: ringdale.StatusTimeout})
+	}
+}
+
+// settle closes the books on requests that something has happened to: what no
+// attempt waits for and nobody will take is let go, and what is over is forgotten.
+func (c *Core) settle() {
+	for len(c.settling) > 0 {
+		q := c.settling[0]
+		c.settling = c.settling[1:]
+		switch {
+		case q.out > 0:
+		case q.answered:
+			c.release(q, c.fig.PinLimit*releaseLimit)
+			if c.requests[q.ID] == q {
+				delete(c.requests, q.ID)
+				delete(c.wires, q.Wire)
+				q.Payload.Body = nil // timers may keep q itself for a while
+			}
+		case q.holder == "":
+			// The request waits for a server while a stray state of an earlier
+			// attempt may be held: its time is running. Tried briefly only, lest a
+			// late call should meet the next read.
+			c.release(q, c.fig.PinLimit/5)
+		}
+	}
+	c.settling = nil
+	if len(c.requests) == 0 && c.releases == 0 {
+		for _, ch := range c.drained {
+			close(ch)
+		}
+		c.drained = nil
+	}
+}
+
+// release tells every engine that may hold something for a request to let it go.
+func (c *Core) release(q *request, within time.Duration) {
+	for name, addr := range q.held {
+		c.releaseAt(addr, q.Wire, within)
+		if q.unsure[name] && q.answered {
+			// The engine may see the closed connection only after the release, and
+			// its read may end in between.
+			c.releases++
+			c.after(strayAgain, func() {
+				c.releases--
+				c.releaseAt(addr, q.Wire, within)
+			})
+		}
+	}
+	clear(q.held)
+	q.holder = ""
+}
+
+func (c *Core) releaseAt(addr, wire string, within time.Duration) {
+	c.releases++
+	c.counts["releases"]++
+	c.engine.Release(addr, wire, time.Now().Add(within), func(err error) {
+		c.post(func() {
+			c.releases--
+			if err != nil {
+				c.counts["releases failed"]++
+				c.log.Debug("release failed", "id", wire, "cause", err)
+			}
+			c.settle()
+		})
+	})
+}
+
+func (c *Core) probe(server string) {
+	m, known := c.members[server]
+	if !c.checks.Hold(known, "a probe goes to a known engine") {
+		return
+	}
+	sent := time.Now()
+	c.engine.Probe(m.Addr, func(s ringdale.Status, r *ringdale.Report) {
+		c.post(func() {
+			c.tell(ringdale.ProbeResult{Server: server, Status: s, Latency: time.Since(sent), Report: r})
+		})
+	})
+}
+
+func (c *Core) after(d time.Duration, job func()) { c.timers.add(time.Now().Add(d), job) }
+
+// lastStatus is how the latest attempt ended, for the client's error text.
+func (q *request) lastStatus() ringdale.Status {
+	for i := len(q.attempts) - 1; i >= 0; i-- {
+		if q.attempts[i].ended {
+			return q.attempts[i].status
+		}
+	}
+	return ringdale.StatusUnsent
+}
--- /dev/null
+++ b/internal/core/timers.go
@@ -0,0 +1,59 @@
+package core
+
+import (
+	"container/heap"
+	"time"
+
+	"wellgw/ringdale"
+)
+
+// timers holds jobs by the time they are due. They can't be taken back: a job
+// that is no longer wanted finds that out itself.
+type timers struct{ list timerHeap }
+
+type timer struct {
+	at  time.Time
+	job func()
+}
+
+func (t *timers) add(at time.Time, job func()) {
+	heap.Push(&t.list, timer{at: at, job: job})
+}
+
+// wait is how long it is until the next job is due.
+func (t *timers) wait(now time.Time) time.Duration {
+	if len(t.list) == 0 {
+		return time.Hour
+	}
+	return max(0, t.list[0].at.Sub(now))
+}
+
+// due takes out the next job that is due, nil if there is none.
+func (t *timers) due(now time.Time) func() {
+	if len(t.list) == 0 || t.list[0].at.After(now) {
+		return nil
+	}
+	return heap.Pop(&t.list).(timer).job
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = timer{} // lets the job be collected
+	*h = old[:len(old)-1]
+	return last
+}
+
+var statusNames = [...]string{
+	ringdale.StatusServed: "served", ringdale.StatusRead: "read", ringdale.StatusError: "error",
+	ringdale.StatusFull: "full", ringdale.StatusTimeout: "timeout", ringdale.StatusNoConnect: "no connect",
+	ringdale.StatusReset: "reset", ringdale.StatusCancelled: "cancelled", ringdale.StatusUnsent: "unsent",
+}
+
+var verdictNames = [...]string{Refused: "refused", Failed: "failed", Overdue: "overdue", Serving: "serving"}
--- /dev/null
+++ b/internal/core/usage.go
@@ -0,0 +1,35 @@
+package core
+
+import (
+	"bytes"
+
+	jsoniter "github.com/json-iterator/go"
+)
+
+// Usage is what a stream's last events say of the work.
+type Usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Completion int `json:"completion_tokens"`
+	Details    struct {
+		Cached int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+// KeptTokens returns how many prompt tokens a stream says were found kept, going
+// by the last usage in it; 0 if it says nothing.
+func KeptTokens(events []byte) int {
+	kept := 0
+	for line := range bytes.Lines(events) {
+		data, is := bytes.CutPrefix(line, []byte("data:"))
+		if !is || !bytes.Contains(data, []byte(`"usage"`)) {
+			continue
+		}
+		var event struct {
+			Usage *Usage `json:"usage"`
+		}
+		if jsoniter.Unmarshal(data, &event) == nil && event.Usage != nil {
+			kept = max(0, event.Usage.Details.Cached)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/invariant/debug.go
@@ -0,0 +1,5 @@
+//go:build debug
+
+package invariant
+
+const fatal = true
--- /dev/null
+++ b/internal/platform/dialect.go
@@ -0,0 +1,85 @@
+// Package platform is the gateway's front towards the platform it runs on: its
+// clients' and engines' protocol and its discovery. It decides nothing.
+package platform
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"wellgw/internal/core"
+	"wellgw/internal/upstream"
+	"wellgw/internal/wire"
+	"wellgw/ringdale"
+)
+
+// Dialect is how the platform's engines are spoken with.
+type Dialect struct{}
+
+// Attempt passes method, target, body and id unchanged.
+func (Dialect) Attempt(a core.Attempt) upstream.Call {
+	return upstream.Call{
+		Method: a.Payload.Method, Target: a.Payload.Target, Body: a.Payload.Body,
+		Header: [][2]string{
+			{"Content-Type", "application/json"},
+			{"X-Request-Id", a.Wire},
+			{"X-Deadline-Ms", strconv.FormatInt(max(1, a.Limit.Milliseconds()), 10)},
+		},
+	}
+}
+
+// Judge maps statuses by the protocol's table. Only X-Not-Run proves that the
+// request was turned away: a bare 503 may have run.
+func (Dialect) Judge(status int, h http.Header, body []byte) core.Result {
+	r := core.Result{Report: loadReport([]byte(h.Get("X-Load")))}
+	turnedAway := h.Get("X-Not-Run") == "1"
+	switch {
+	case status == http.StatusOK: // of a probe; an attempt's is a stream
+		r.Status, r.Report = ringdale.StatusServed, loadReport(body)
+	case status == http.StatusAccepted:
+		var kept struct {
+			Tokens int `json:"cached_tokens"`
+		}
+		// Without a body that makes sense the prompt is read all the same.
+		_ = jsoniter.Unmarshal(body, &kept)
+		r.Status, r.Kept = ringdale.StatusRead, max(0, kept.Tokens)
+	case turnedAway:
+		r.Status, r.NoState = ringdale.StatusFull, status == http.StatusGone
+	default:
+		r.Status = ringdale.StatusError
+	}
+	return r
+}
+
+// Tail reads the usage, and a load report if one came as a comment.
+func (Dialect) Tail(tail []byte, r *core.Result) {
+	r.Kept = core.KeptTokens(tail)
+	for line := range bytes.Lines(tail) {
+		if load, is := bytes.CutPrefix(line, []byte(": X-Load:")); is {
+			r.Report = loadReport(load)
+		}
+	}
+}
+
+// Release names the room of a request.
+func (Dialect) Release(id string) (upstream.Call, bool) {
+	return upstream.Call{Method: http.MethodDelete, Target: "/bootstrap/rooms/" + id}, true
+}
+
+// Probe asks for the load report.
+func (Dialect) Probe() (upstream.Call, bool) {
+	return upstream.Call{Method: http.MethodGet, Target: "/load"}, true
+}
+
+func loadReport(raw []byte) *ringdale.Report {
+	if len(bytes.TrimSpace(raw)) == 0 {
+		return nil
+	}
+	var values map[string]float64
+	if jsoniter.Unmarshal(raw, &values) != nil {
+		return nil
+	}
+	return wire.ReadReport(values)
+}
--- /dev/null
+++ b/internal/platform/front.go
@@ -0,0 +1,201 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"wellgw/internal/core"
+	"wellgw/ringdale"
+)
+
+// Bounds towards clients.
+const (
+	maxBody    = 256 << 10
+	maxSpan    = time.Hour       // of a deadline or hint; more is a mistake
+	maxTokens  = 1 << 30         // of any length in tokens
+	writeLimit = 5 * time.Second // a client that takes no byte for this long is given up
+)
+
+// Front answers the platform's clients.
+type Front struct {
+	core    *core.Core
+	classes map[string]bool
+	closing atomic.Bool
+}
+
+// NewFront returns a front to a core that knows these classes.
+func NewFront(c *core.Core, classes []ringdale.Class) *Front {
+	f := &Front{core: c, classes: map[string]bool{}}
+	for _, class := range classes {
+		f.classes[class.Name] = true
+	}
+	return f
+}
+
+// Close has every answer from now on end its connection. New requests are still
+// taken: clients keep coming until they have noticed.
+func (f *Front) Close() { f.closing.Store(true) }
+
+// ServeHTTP takes chat requests and answers health checks.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	switch r.URL.Path {
+	case "/healthz":
+		if !f.core.Ready() || f.closing.Load() {
+			http.Error(w, "no engine to send to", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ok\n")
+	case "/v1/chat/completions":
+		f.chat(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (f *Front) chat(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if r.Method != http.MethodPost {
+		w.Header().Set("Allow", http.MethodPost)
+		http.Error(w, "POST only", http.StatusMethodNotAllowed)
+		return
+	}
+	q, err := f.parse(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	q.Arrived = arrived
+	q.Payload = core.Payload{Method: r.Method, Target: r.URL.RequestURI()}
+	q.Payload.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if tooBig := (*http.MaxBytesError)(nil); errors.As(err, &tooBig) {
+		http.Error(w, "body over 256 KiB", http.StatusRequestEntityTooLarge)
+		return
+	} else if err != nil {
+		http.Error(w, "body cut short", http.StatusBadRequest)
+		return
+	}
+	answer, ticket, here := core.Await(r.Context(), f.core, q)
+	if !here {
+		panic(http.ErrAbortHandler) // the client has gone: there is nobody to answer
+	}
+	if answer.Verdict == core.Serving {
+		f.stream(r.Context(), w, answer.Stream, ticket)
+		return
+	}
+	refuse(w, answer)
+}
+
+// refuse words an answer that is no stream. Only 429 and 503 promise that trying
+// again is harmless, so that a failure must never be either.
+func refuse(w http.ResponseWriter, a core.Answer) {
+	switch a.Verdict {
+	case core.Refused:
+		if a.RetryAfter > 0 {
+			w.Header().Set("Retry-After", core.RetryAfter(a.RetryAfter))
+		}
+		http.Error(w, "no server can take this in time", http.StatusServiceUnavailable)
+	case core.Overdue:
+		http.Error(w, "no answer in time", http.StatusGatewayTimeout)
+	default:
+		if a.Status == ringdale.StatusTimeout {
+			http.Error(w, "no answer in time", http.StatusGatewayTimeout)
+			return
+		}
+		http.Error(w, "failed", http.StatusBadGateway)
+	}
+}
+
+// stream passes an attempt's events on, unchanged and as they come. If they
+// break, the connection is ended without the last chunk: only so does the client
+// learn that the stream is not whole.
+func (f *Front) stream(ctx context.Context, w http.ResponseWriter, s core.Stream, t *core.Ticket) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-cache")
+	out := http.NewResponseController(w)
+	err := t.Relay(ctx, s, func(p []byte) error {
+		if err := out.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
+			return err
+		}
+		if _, err := w.Write(p); err != nil {
+			return err
+		}
+		return out.Flush()
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	// The deadline was for the stream; the connection lives on.
+	_ = out.SetWriteDeadline(time.Time{})
+}
+
+var wireID = regexp.MustCompile(`^[0-9A-Za-z_.:-]{1,64}$`)
+
+// parse reads a request's headers. What is missing or malformed is named.
+func (f *Front) parse(r *http.Request) (core.Request, error) {
+	h := r.Header
+	q := core.Request{Wire: h.Get("X-Request-Id")}
+	q.Class, q.Tenant, q.Session = h.Get("X-Class"), h.Get("X-Tenant"), h.Get("X-Key")
+	if !wireID.MatchString(q.Wire) {
+		return q, errors.New("X-Request-Id: missing or malformed")
+	}
+	if !f.classes[q.Class] {
+		return q, errors.New("X-Class: missing or unknown")
+	}
+	if len(q.Session) > 256 {
+		return q, errors.New("X-Key: too long")
+	}
+	ms, err := strconv.ParseInt(h.Get("X-Deadline-Ms"), 10, 64)
+	if err != nil || ms <= 0 || ms > maxSpan.Milliseconds() {
+		return q, errors.New("X-Deadline-Ms: missing or malformed")
+	}
+	q.TTL = time.Duration(ms) * time.Millisecond
+	if v := h.Get("X-Cost-Hint"); v != "" {
+		us, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(us >= 0 && us <= float64(maxSpan.Microseconds())) {
+			return q, errors.New("X-Cost-Hint: malformed")
+		}
+		q.Hint = time.Duration(us * float64(time.Microsecond))
+	}
+	switch v := h.Get("X-Retry"); v {
+	case "":
+	case "again":
+		q.Reconnect = true
+	default:
+		q.Repeat = true
+	}
+	return q, extras(h.Get("X-Extras"), &q)
+}
+
+// extras reads the opening's name and the lengths in tokens.
+func extras(text string, q *core.Request) error {
+	lengths := map[string]*int{"prompt_len": &q.Prompt, "prefix_len": &q.PrefixLen, "max_out": &q.MaxTokens}
+	given := map[string]bool{}
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if name == "prefix" && value != "0" {
+			q.Prefix = value
+		}
+		if into := lengths[name]; into != nil {
+			n, err := strconv.ParseFloat(value, 64)
+			if err != nil || !(n >= 0 && n <= maxTokens) {
+				return fmt.Errorf("X-Extras: %s is malformed", name)
+			}
+			*into, given[name] = int(n), true
+		}
+	}
+	if !given["prompt_len"] {
+		return errors.New("X-Extras: prompt_len is missing")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/watch.go
@@ -0,0 +1,201 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"wellgw/internal/config"
+	"wellgw/internal/core"
+	"wellgw/ringdale"
+)
+
+// The watch's margins. A line comes every 2 s at least.
+const (
+	watchSilence = 7 * time.Second
+	watchPause   = 100 * time.Millisecond
+	watchMost    = time.Second
+	maxList      = 4 << 20
+)
+
+// Roster holds what discovery has told. It guards the drain rule: an engine that
+// is leaving or gone stays so, whatever older news comes after.
+type Roster struct {
+	revision int64
+	entries  map[string]entry
+}
+
+type entry struct {
+	config.ListEntry
+	revision int64
+}
+
+var phases = map[string]ringdale.Phase{
+	"active": ringdale.PhaseOn, "leaving": ringdale.PhaseDraining, "left": ringdale.PhaseOff,
+}
+
+// NewRoster returns an empty roster.
+func NewRoster() *Roster { return &Roster{entries: map[string]entry{}} }
+
+// Revision is the newest that has been taken in.
+func (r *Roster) Revision() int64 { return r.revision }
+
+// Apply takes a list in and returns the entries that have changed. An entry of a
+// revision no newer than what is known is taken only if it ends an engine's work
+// or tells of a later start: news may cross, and `known` may be old. Only a
+// complete list that is not older removes the engines it does not name.
+func (r *Roster) Apply(l config.List) []core.Member {
+	var changed []core.Member
+	take := func(e config.ListEntry) {
+		r.entries[e.ID] = entry{e, l.Revision}
+		changed = append(changed, member(e))
+	}
+	named := map[string]bool{}
+	for _, e := range l.Members {
+		named[e.ID] = true
+		old, known := r.entries[e.ID]
+		worse := phaseOf(e.Phase) > phaseOf(old.Phase) && e.UpSince >= old.UpSince
+		if !known || l.Revision > old.revision || worse || e.UpSince > old.UpSince {
+			take(e)
+		}
+	}
+	if l.Complete && l.Revision >= r.revision {
+		for id, e := range r.entries {
+			if !named[id] && phaseOf(e.Phase) != ringdale.PhaseOff {
+				e.Phase = "left"
+				take(e.ListEntry)
+			}
+		}
+	}
+	r.revision = max(r.revision, l.Revision)
+	return changed
+}
+
+// phaseOf reads a phase; one that is unknown is not sent to.
+func phaseOf(s string) ringdale.Phase {
+	if p, known := phases[s]; known {
+		return p
+	}
+	return ringdale.PhaseDraining
+}
+
+func member(e config.ListEntry) core.Member {
+	m := core.Member{
+		ServerInfo: ringdale.ServerInfo{
+			Name: e.ID, Kind: e.Flavor, Zone: e.Locality, Cell: e.Cell, Weight: e.Size, Phase: phaseOf(e.Phase),
+		},
+		Addr: e.HostPort,
+	}
+	if e.UpSince > 0 {
+		m.StartedAt = time.UnixMilli(e.UpSince)
+	}
+	return m
+}
+
+// Watch follows discovery and tells the core what it learns.
+type Watch struct {
+	addr   string
+	tell   func(ringdale.RosterScope, []core.Member)
+	log    *slog.Logger
+	roster *Roster
+	wake   chan struct{} // a Subscribe; nil where changes come by themselves
+	client *http.Client
+}
+
+// NewWatch returns a watch on discovery's address. If asked is true it begins
+// only with the first Subscribe.
+func NewWatch(addr string, asked bool, tell func(ringdale.RosterScope, []core.Member), log *slog.Logger) *Watch {
+	w := &Watch{addr: addr, tell: tell, log: log, roster: NewRoster()}
+	if asked {
+		w.wake = make(chan struct{}, 1)
+	}
+	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, ResponseHeaderTimeout: watchSilence}}
+	return w
+}
+
+// Subscribe asks for changes from now on.
+func (w *Watch) Subscribe() {
+	select {
+	case w.wake <- struct{}{}:
+	default: // one is under way, or none is needed
+	}
+}
+
+// Run starts from the list as last held and follows the watch until ctx ends.
+func (w *Watch) Run(ctx context.Context, known config.List) {
+	w.tell(ringdale.RosterCached, w.roster.Apply(known))
+	for pause := watchPause; ctx.Err() == nil; pause = min(2*pause, watchMost) {
+		if w.wake != nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-w.wake:
+			}
+		}
+		lines, err := w.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		w.log.Warn("watch ended", "lines", lines, "cause", err)
+		if w.wake != nil {
+			w.tell(ringdale.RosterFailed, nil)
+		}
+		if lines > 0 {
+			pause = watchPause
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// follow reads one watch to its end and returns how many lists it brought.
+func (w *Watch) follow(ctx context.Context) (lines int, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(watchSilence, cancel)
+	defer silence.Stop()
+	url := fmt.Sprintf("http://%s/v1/servers?watch=1&after=%d", w.addr, w.roster.Revision())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, fmt.Errorf("watch: %w", err)
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("watch: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("watch: status %d", resp.StatusCode)
+	}
+	scan := bufio.NewScanner(resp.Body)
+	scan.Buffer(nil, maxList)
+	for scan.Scan() {
+		silence.Reset(watchSilence)
+		line := bytes.TrimSpace(scan.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		var l config.List
+		if err := jsoniter.Unmarshal(line, &l); err != nil {
+			return lines, fmt.Errorf("watch: %w", err)
+		}
+		lines++
+		// The roster has worked out who is gone, so changes say all there is.
+		if changed := w.roster.Apply(l); len(changed) > 0 || lines == 1 {
+			w.tell(ringdale.RosterChanges, changed)
+		}
+	}
+	if err := scan.Err(); err != nil {
+		return lines, fmt.Errorf("watch: %w", err)
+	}
+	return lines, io.EOF
+}
--- /dev/null
+++ b/internal/upstream/engine.go
@@ -0,0 +1,333 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"wellgw/internal/core"
+	"wellgw/ringdale"
+)
+
+// Call is a request as it is written to an engine.
+type Call struct {
+	Method, Target string
+	Header         [][2]string
+	Body           []byte
+}
+
+// Dialect says what a kind of engine is told and what its answers mean.
+type Dialect interface {
+	// Attempt is the call that an attempt makes.
+	Attempt(core.Attempt) Call
+	// Judge reads an answer other than a stream.
+	Judge(status int, h http.Header, body []byte) core.Result
+	// Tail reads the last part of a whole stream into the result.
+	Tail(tail []byte, r *core.Result)
+	// Release is the call that lets go of what is held, false if there is none.
+	Release(wire string) (Call, bool)
+	// Probe is the call that asks for a load report, false if there is none.
+	Probe() (Call, bool)
+}
+
+// Bounds of what is read and waited for.
+const (
+	maxAnswer    = 64 << 10 // of an answer that is no stream
+	tailSize     = 4 << 10
+	leakGuard    = 2 * time.Second // past an attempt's limit, should nobody give it up
+	releaseWait  = 300 * time.Millisecond
+	releasePause = 50 * time.Millisecond
+	probeWait    = time.Second
+)
+
+// Engine makes attempts over a pool in one dialect. It is a core.Engine.
+type Engine struct {
+	pool    *Pool
+	dialect Dialect
+}
+
+// NewEngine returns an engine that speaks d over p.
+func NewEngine(p *Pool, d Dialect) *Engine { return &Engine{pool: p, dialect: d} }
+
+// try is one attempt under way. Whoever takes its connection out answers for it.
+type try struct {
+	mu     sync.Mutex
+	c      *conn
+	over   bool
+	cancel context.CancelFunc
+	pool   *Pool
+}
+
+// hold notes the connection in use; false if the attempt has been given up.
+func (t *try) hold(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.c = c
+	return !t.over
+}
+
+// stop gives the attempt up: to close its connection is how an engine is told.
+func (t *try) stop() {
+	t.mu.Lock()
+	c := t.c
+	t.c, t.over = nil, true
+	t.mu.Unlock()
+	t.cancel()
+	if c != nil {
+		t.pool.drop(c)
+	}
+}
+
+// done ends the attempt; its connection is kept for others if the answer was
+// read to its end. After stop there is none.
+func (t *try) done(reuse bool) {
+	t.mu.Lock()
+	c := t.c
+	t.c, t.over = nil, true
+	t.mu.Unlock()
+	t.cancel()
+	switch {
+	case c == nil:
+	case reuse:
+		t.pool.put(c)
+	default:
+		t.pool.drop(c)
+	}
+}
+
+// Start begins an attempt; see core.Engine.
+func (e *Engine) Start(a core.Attempt, first func(core.Stream), ended func(core.Result)) func() {
+	ctx, cancel := context.WithTimeout(context.Background(), a.Limit+leakGuard)
+	t := &try{cancel: cancel, pool: e.pool}
+	go func() {
+		s, r := e.attempt(ctx, t, a)
+		if s != nil {
+			first(s)
+			return
+		}
+		ended(r)
+	}()
+	return t.stop
+}
+
+func (e *Engine) attempt(ctx context.Context, t *try, a core.Attempt) (core.Stream, core.Result) {
+	fail := func(s ringdale.Status, err error) (core.Stream, core.Result) {
+		t.done(false)
+		return nil, core.Result{Status: s, Cause: err}
+	}
+	c, err := e.pool.get(ctx, a.Addr)
+	if err != nil {
+		return fail(ringdale.StatusNoConnect, err)
+	}
+	if !t.hold(c) {
+		e.pool.drop(c)
+		return fail(ringdale.StatusCancelled, context.Canceled)
+	}
+	c.SetDeadline(time.Now().Add(a.Limit + leakGuard))
+	// An attempt counts once its last byte is out. It is never sent again from
+	// here, not even after a reset on a kept connection: only the module knows
+	// whether the class allows that.
+	if err := write(c, e.dialect.Attempt(a)); err != nil {
+		return fail(ringdale.StatusNoConnect, err)
+	}
+	resp, err := readHead(c)
+	if err != nil {
+		return fail(ringdale.StatusReset, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+		t.done(err == nil && len(body) < maxAnswer && !resp.Close)
+		r := e.dialect.Judge(resp.StatusCode, resp.Header, body)
+		if r.Cause == nil && r.Status != ringdale.StatusRead {
+			r.Cause = fmt.Errorf("status %d", resp.StatusCode)
+		}
+		return nil, r
+	}
+	s := &stream{try: t, c: c, resp: resp, dialect: e.dialect, silence: e.pool.opt.StreamSilence}
+	s.buf = make([]byte, 4<<10)
+	n, err := resp.Body.Read(s.buf)
+	if n == 0 { // the head alone gives the client nothing: the attempt has failed, not the stream
+		if errors.Is(err, io.EOF) {
+			return fail(ringdale.StatusError, errors.New("stream without an event"))
+		}
+		return fail(ringdale.StatusReset, err)
+	}
+	s.pending, s.err = s.buf[:n], err
+	return s, core.Result{}
+}
+
+// write sends a call in one piece. It fails only if the last byte is not out.
+func write(c *conn, call Call) error {
+	var b bytes.Buffer
+	b.Grow(512 + len(call.Body))
+	b.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + c.addr + "\r\n")
+	for _, h := range call.Header {
+		b.WriteString(h[0] + ": " + h[1] + "\r\n")
+	}
+	if len(call.Body) > 0 {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(call.Body)
+	n, err := c.Write(b.Bytes())
+	if n == b.Len() {
+		return nil
+	}
+	return err
+}
+
+// readHead reads an answer's head, past any interim ones.
+func readHead(c *conn) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.r, nil)
+		if err != nil || resp.StatusCode >= 200 {
+			return resp, err
+		}
+	}
+}
+
+// stream is an attempt's answer from its first event on.
+type stream struct {
+	*try
+	c       *conn
+	resp    *http.Response
+	dialect Dialect
+	silence time.Duration
+	buf     []byte
+	pending []byte
+	tail    []byte
+	err     error
+	result  core.Result
+}
+
+// Read returns events as they come. io.EOF comes after the last chunk only: a
+// connection that just ends is a broken stream.
+func (s *stream) Read(p []byte) (int, error) {
+	if len(s.pending) > 0 {
+		n := copy(p, s.pending)
+		s.pending = s.pending[n:]
+		s.note(p[:n])
+		return n, nil
+	}
+	if s.err != nil {
+		return 0, s.finish(s.err)
+	}
+	s.buf = nil
+	var until time.Time
+	if s.silence > 0 { // a machine that has vanished says nothing; a client is not left waiting for it
+		until = time.Now().Add(s.silence)
+	}
+	s.c.SetDeadline(until)
+	n, err := s.resp.Body.Read(p)
+	s.note(p[:n])
+	if err != nil {
+		s.err = err
+		if n == 0 {
+			return 0, s.finish(err)
+		}
+	}
+	return n, nil
+}
+
+// note keeps the last part of what has passed, where the usage stands.
+func (s *stream) note(p []byte) {
+	s.tail = append(s.tail, p...)
+	if len(s.tail) > 2*tailSize {
+		s.tail = append(s.tail[:0], s.tail[len(s.tail)-tailSize:]...)
+	}
+}
+
+func (s *stream) finish(err error) error {
+	framed := s.resp.ContentLength >= 0 || len(s.resp.TransferEncoding) > 0
+	if errors.Is(err, io.EOF) && !framed && !bytes.Contains(s.tail, []byte("data: [DONE]")) {
+		err = io.ErrUnexpectedEOF
+	}
+	if errors.Is(err, io.EOF) {
+		s.result.Status = ringdale.StatusServed
+		s.dialect.Tail(s.tail, &s.result)
+	} else {
+		s.result.Status, s.result.Cause = ringdale.StatusReset, err
+	}
+	s.done(err == io.EOF && framed && !s.resp.Close)
+	return err
+}
+
+// Result tells how the stream ended.
+func (s *stream) Result() core.Result { return s.result }
+
+// Close gives the rest of the stream up.
+func (s *stream) Close() error {
+	s.stop()
+	return nil
+}
+
+// Release lets go of what is held for a request; see core.Engine. The call has
+// no effect but that, so it may be sent again.
+func (e *Engine) Release(addr, wire string, until time.Time, done func(error)) {
+	call, any := e.dialect.Release(wire)
+	go func() {
+		if !any {
+			done(nil)
+			return
+		}
+		for pause := releasePause; ; pause = min(2*pause, releaseWait) {
+			_, _, err := e.exchange(addr, call, releaseWait)
+			if err == nil || time.Now().Add(pause).After(until) {
+				done(err)
+				return
+			}
+			time.Sleep(pause)
+		}
+	}()
+}
+
+// Probe asks for a load report; see core.Engine.
+func (e *Engine) Probe(addr string, done func(ringdale.Status, *ringdale.Report)) {
+	call, any := e.dialect.Probe()
+	go func() {
+		if !any {
+			done(ringdale.StatusUnsent, nil)
+			return
+		}
+		resp, body, err := e.exchange(addr, call, probeWait)
+		if err != nil {
+			done(ringdale.StatusNoConnect, nil)
+			return
+		}
+		r := e.dialect.Judge(resp.StatusCode, resp.Header, body)
+		done(r.Status, r.Report)
+	}()
+}
+
+// exchange makes a short call that has no effect worth counting.
+func (e *Engine) exchange(addr string, call Call, wait time.Duration) (*http.Response, []byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	c, err := e.pool.get(ctx, addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	c.SetDeadline(time.Now().Add(wait))
+	if err := write(c, call); err != nil {
+		e.pool.drop(c)
+		return nil, nil, fmt.Errorf("write: %w", err)
+	}
+	resp, err := readHead(c)
+	if err != nil {
+		e.pool.drop(c)
+		return nil, nil, fmt.Errorf("read: %w", err)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil || len(body) == maxAnswer || resp.Close {
+		e.pool.drop(c)
+		return resp, body, err
+	}
+	e.pool.put(c)
+	return resp, body, nil
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,175 @@
+// Package upstream speaks HTTP/1.1 to engines on plain connections: it keeps a
+// pool of them, makes attempts, lets go of held states and asks for load reports.
+// What is said on them is a Dialect's matter.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Options are the figures of a pool.
+type Options struct {
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration // engines close idle connections after this at the latest
+	MaxConns       int           // open at once, over all engines
+	StreamSilence  time.Duration // a stream that says nothing for this long is broken off
+}
+
+// The pool's margins.
+const (
+	idlePart    = 0.5                    // of ConnIdle, after which an idle connection is retired
+	sweepEvery  = 200 * time.Millisecond // how often idle connections are looked at
+	connectPart = 0.95                   // of the connect time-out, so that ours comes first
+)
+
+var errTooMany = errors.New("all connections are in use")
+
+// conn is one connection to an engine.
+type conn struct {
+	net.Conn
+	r    *bufio.Reader
+	addr string
+	idle time.Time // since when it has been idle
+}
+
+// Pool keeps idle connections to engines.
+type Pool struct {
+	opt  Options
+	mu   sync.Mutex
+	idle map[string][]*conn
+	open int
+}
+
+// NewPool returns an empty pool. Sweep must run for idle connections to be watched.
+func NewPool(opt Options) *Pool { return &Pool{opt: opt, idle: map[string][]*conn{}} }
+
+// Sweep looks after idle connections until ctx ends, then closes them.
+func (p *Pool) Sweep(ctx context.Context) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.retire(func(*conn) bool { return true })
+			return
+		case now := <-t.C:
+			p.retire(func(c *conn) bool { return p.stale(c, now) || !quiet(c.Conn) })
+		}
+	}
+}
+
+// stale tells whether a connection has been idle so long that its engine might
+// close it just as the next request is written, which would end in a reset.
+func (p *Pool) stale(c *conn, now time.Time) bool {
+	return p.opt.ConnIdle > 0 && now.Sub(c.idle) > time.Duration(idlePart*float64(p.opt.ConnIdle))
+}
+
+func (p *Pool) retire(old func(*conn) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if old(c) {
+				c.Close()
+				p.open--
+				continue
+			}
+			kept = append(kept, c)
+		}
+		clear(list[len(kept):])
+		if p.idle[addr] = kept; len(kept) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+}
+
+// get returns an idle connection that its engine has not closed, or a new one.
+func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+	p.mu.Lock()
+	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
+		c := list[len(list)-1] // the newest: the others may grow old and be retired
+		p.idle[addr] = list[:len(list)-1]
+		if !p.stale(c, time.Now()) && quiet(c.Conn) {
+			p.mu.Unlock()
+			return c, nil
+		}
+		c.Close()
+		p.open--
+	}
+	if p.opt.MaxConns > 0 && p.open >= p.opt.MaxConns && !p.evict() {
+		p.mu.Unlock()
+		return nil, errTooMany
+	}
+	p.open++
+	p.mu.Unlock()
+	d := net.Dialer{Timeout: time.Duration(connectPart * float64(p.opt.ConnectTimeout)), KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, fmt.Errorf("connect to %s: %w", addr, err)
+	}
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, 4<<10), addr: addr}, nil
+}
+
+// evict closes an idle connection of any engine to make room. The lock is held.
+func (p *Pool) evict() bool {
+	for addr, list := range p.idle {
+		if len(list) > 0 {
+			list[0].Close()
+			p.idle[addr] = list[1:]
+			p.open--
+			return true
+		}
+	}
+	return false
+}
+
+// put gives back a connection whose answer has been read to its end.
+func (p *Pool) put(c *conn) {
+	if c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		p.drop(c)
+		return
+	}
+	c.idle = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+func (p *Pool) drop(c *conn) {
+	c.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// quiet tells whether a connection is open with nothing to read. An engine that
+// has closed its side, or has sent something unasked, gets no further request.
+func quiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var b [1]byte
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(e, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -7,8 +7,8 @@
 	"wellgw/ringdale"
 )
 
-// options mirrors the settings object of the dialect. Unknown keys are ignored.
-type options struct {
+// Options mirrors the settings object of the dialect. Unknown keys are ignored.
+type Options struct {
 	Az        string   `json:"az"`
 	Zones     []string `json:"zones"`
 	Balancers int      `json:"balancers"`
@@ -19,17 +19,21 @@
 		Group  string  `json:"group"`
 		Window int64   `json:"window"`
 		Gain   float64 `json:"gain"`
+		Limit  int64   `json:"hard_limit"`
 	} `json:"classes"`
 	Info struct {
 		AimPer1000 []float64 `json:"aim_us_per_1000_prompt_tokens"`
 		Duty       []string  `json:"duty_by_kind"`
 		PinLimit   int64     `json:"pin_limit"`
+		Resume     bool      `json:"resume"`
 		TokenAim   []float64 `json:"token_aim"`
 		Tokens     []float64 `json:"tokens_by_kind"`
 	} `json:"family_info"`
 	Kinds  []string `json:"kinds"`
 	Limits struct {
 		Cancelling    bool  `json:"cancelling"`
+		ConnIdle      int64 `json:"conn_idle"`
+		ConnTimeout   int64 `json:"connect_timeout"`
 		MaxRetryAfter int64 `json:"max_retry_after"`
 		RetryAfter    bool  `json:"retry_after"`
 		SendCap       int   `json:"send_cap"`
@@ -37,6 +41,7 @@
 	Membership     string  `json:"membership_mode"`
 	OverShareWorth float64 `json:"over_share_worth"`
 	Rules          struct {
+		AnswerSlack  int64   `json:"answer_slack"`
 		Cold         int64   `json:"cold"`
 		ColdShare    float64 `json:"cold_share"`
 		Fall         int64   `json:"fall"`
@@ -49,7 +54,8 @@
 	Tick int64 `json:"tick"`
 }
 
-func micros(n int64) time.Duration {
+// Micros turns the dialect's microseconds into a span.
+func Micros(n int64) time.Duration {
 	if n > math.MaxInt64/1000 || n < math.MinInt64/1000 {
 		return math.MaxInt64
 	}
@@ -73,14 +79,15 @@
 
 var groups = map[string]ringdale.Group{"zone": ringdale.GroupZone, "cell": ringdale.GroupCell, "bay": ringdale.GroupCell}
 
-func (o *options) settings() ringdale.Settings {
+// Settings returns what the decision module needs of the object.
+func (o *Options) Settings() ringdale.Settings {
 	s := ringdale.Settings{
 		Zone: o.Az, Zones: o.Zones, Routers: o.Balancers,
 		OverShareWorth: o.OverShareWorth, MustSubscribe: o.Membership == "subscribe",
 		CanCancel: o.Limits.Cancelling, CanRetryAfter: o.Limits.RetryAfter,
-		MaxRetryAfter: micros(o.Limits.MaxRetryAfter), MaxAttempts: o.Limits.SendCap,
-		Cold: micros(o.Rules.Cold), ColdShare: o.Rules.ColdShare, Fall: micros(o.Rules.Fall),
-		FallMultiple: o.Rules.FallMultiple, PinLimit: micros(o.Info.PinLimit), Tick: micros(o.Tick),
+		MaxRetryAfter: Micros(o.Limits.MaxRetryAfter), MaxAttempts: o.Limits.SendCap,
+		Cold: Micros(o.Rules.Cold), ColdShare: o.Rules.ColdShare, Fall: Micros(o.Rules.Fall),
+		FallMultiple: o.Rules.FallMultiple, PinLimit: Micros(o.Info.PinLimit), Tick: Micros(o.Tick),
 	}
 	for i, c := range o.Classes {
 		effect, known := effects[c.Effect]
@@ -88,10 +95,10 @@
 			effect = ringdale.EffectSingleShot
 		}
 		s.Classes = append(s.Classes, ringdale.Class{
-			Name: c.Name, Aim: micros(c.Aim), Gain: c.Gain,
+			Name: c.Name, Aim: Micros(c.Aim), Gain: c.Gain,
 			AimPerToken: time.Duration(at(o.Info.AimPer1000, i)), // microseconds per 1,000 = nanoseconds per 1
-			TokenAim:    micros(int64(at(o.Info.TokenAim, i))),
-			Effect:      effect, Group: groups[c.Group], Window: micros(c.Window),
+			TokenAim:    Micros(int64(at(o.Info.TokenAim, i))),
+			Effect:      effect, Group: groups[c.Group], Window: Micros(c.Window),
 		})
 	}
 	for i, k := range o.Kinds {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -170,7 +170,7 @@
 	case l.Verb == "Turn" && (l.Turn == nil || l.Time == nil):
 		return nil, errors.New("Turn without turn or time")
 	case l.Verb == "Turn":
-		h.now = micros(*l.Time)
+		h.now = Micros(*l.Time)
 		return l.Turn, nil
 	case turn == nil:
 		return nil, fmt.Errorf("%q outside a batch", l.Verb)
@@ -209,7 +209,7 @@
 }
 
 func (h *host) start(l *inLine) error {
-	var o options
+	var o Options
 	if len(l.Options) == 0 {
 		return errors.New("Hello without options")
 	}
@@ -220,7 +220,7 @@
 	if err != nil {
 		return err
 	}
-	router, err := ringdale.New(o.settings(), seed)
+	router, err := ringdale.New(o.Settings(), seed)
 	if err != nil {
 		h.emit(outLine{Verb: "Die", Who: l.Who, Message: err.Error()})
 	}
@@ -273,7 +273,7 @@
 		}
 		list = append(list, ringdale.ServerInfo{
 			Name: e.Worker, Kind: e.Family, Zone: e.DC, Cell: e.Bay, Weight: e.Scale,
-			CameUp: micros(e.CameUp), Phase: phase,
+			CameUp: Micros(e.CameUp), Phase: phase,
 		})
 	}
 	return list
@@ -300,10 +300,10 @@
 		return ringdale.Request{
 			ID: id, Class: l.Lane, Tenant: string(l.Team), Session: string(l.Talk), Prefix: string(l.Prefix),
 			PrefixLen: int(l.PrefixLen), Prompt: int(l.Prompt), MaxTokens: int(l.MaxTokens),
-			Hint: micros(int64(l.Predicted)), TTL: micros(l.TTL), Repeat: l.Resent, Reconnect: l.Reconnect,
+			Hint: Micros(int64(l.Predicted)), TTL: Micros(l.TTL), Repeat: l.Resent, Reconnect: l.Reconnect,
 		}, nil
 	case "UnderWay":
-		return ringdale.FirstToken{ID: id, Attempt: l.Copy, Server: l.Worker, Latency: micros(l.Latency)}, nil
+		return ringdale.FirstToken{ID: id, Attempt: l.Copy, Server: l.Worker, Latency: Micros(l.Latency)}, nil
 	case "HeldNote":
 		return ringdale.PlaceNote{ID: id, Held: l.What == 1}, nil
 	case "Verdict":
@@ -322,7 +322,7 @@
 			return nil, fmt.Errorf("unknown outcome %q", l.Reason)
 		}
 		return ringdale.ProbeResult{
-			Server: l.Worker, Status: status, Latency: micros(l.Latency), Report: report(l.Usage),
+			Server: l.Worker, Status: status, Latency: Micros(l.Latency), Report: ReadReport(l.Usage),
 		}, nil
 	case "FromPeer":
 		payload, err := hex.DecodeString(l.Contents)
@@ -337,7 +337,7 @@
 func outcome(l *inLine, status ringdale.Status) ringdale.Outcome {
 	o := ringdale.Outcome{
 		ID: ringdale.RequestID(l.Xid), Attempt: l.Copy, Server: l.Worker, Status: status,
-		Latency: micros(l.Latency), Final: l.Last, Report: report(l.Usage),
+		Latency: Micros(l.Latency), Final: l.Last, Report: ReadReport(l.Usage),
 	}
 	if status == ringdale.StatusFull {
 		o.NoState = l.Info == 1
@@ -347,7 +347,9 @@
 	return o
 }
 
-func report(usage map[string]float64) *ringdale.Report {
+// ReadReport turns the values of a load report into the module's form, nil if
+// there are none.
+func ReadReport(usage map[string]float64) *ringdale.Report {
 	if len(usage) == 0 {
 		return nil
 	}
