Let the budget test end its first request before the third

Seen: the test's third request was refused as crowded, since its first was never answered and had been out for five seconds. Checked: the refusal did not carry OverQuota. Conclusion: the test was at fault, not the module; all of the module's tests pass.

--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -873,9 +873,8 @@
 	}
 	late := ask(3, 400)
 	late.Tenant = "team"
-	if has[Refuse](r.Handle(5*time.Second, late)) {
-		t.Error("refused although the budget has filled again")
-	}
+	r.Handle(20*ms, Outcome{ID: 1, Server: "m1", Status: StatusServed, Latency: 19 * ms, Final: true})
+	sent(t, r.Handle(5*time.Second, late)) // the budget has filled again
 }
 
 func BenchmarkRequest(b *testing.B) {
