Pass on what has come of a chunk at once; test core, fronts and upstream

Seen: with an engine that stalled inside its second event, the client did not get the first one either until the attempt's limit; found by the test of a client that drops mid-stream. Checked: the engine's bytes had arrived; the standard library's chunked reader goes on to fill its buffer from a chunk that has begun. Ruled out: the relay's flushing, which was never reached. Conclusion: a whole chat path stands under test: broken orders are sent once, a drop frees its state within 500 ms, a spent budget is refused, deadlines hold.

--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,254 @@
+package core
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"wellgw/internal/invariant"
+	"wellgw/internal/playback"
+	"wellgw/ringdale"
+)
+
+// fake is an engine pool whose attempts end as the test says.
+type fake struct {
+	mu       sync.Mutex
+	script   func(a Attempt) (Stream, *Result) // neither: silence
+	attempts []string                          // servers
+	closed   int
+	released []string
+}
+
+func (f *fake) Start(a Attempt, first func(Stream), ended func(Result)) func() {
+	f.mu.Lock()
+	f.attempts = append(f.attempts, a.To.Name)
+	f.mu.Unlock()
+	go func() {
+		if s, r := f.script(a); s != nil {
+			first(s)
+		} else if r != nil {
+			ended(*r)
+		}
+	}()
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.closed++
+		})
+	}
+}
+
+func (f *fake) Release(m Member, wire string, _ time.Time, done func(error)) {
+	f.mu.Lock()
+	f.released = append(f.released, m.Name)
+	f.mu.Unlock()
+	go done(nil)
+}
+
+func (f *fake) Probe(Member, func(ringdale.Status, *ringdale.Report)) {}
+func (f *fake) Subscribe()                                            {}
+
+func (f *fake) has(server string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.released {
+		if s == server {
+			return true
+		}
+	}
+	return false
+}
+
+func newCore(t *testing.T, f *fake) *Core {
+	router, err := ringdale.New(ringdale.Settings{
+		Zones: []string{""}, Routers: 1, MaxAttempts: 4, CanCancel: true, CanRetryAfter: true, MaxRetryAfter: time.Second,
+		Classes: []ringdale.Class{
+			{Name: "free", Aim: 10 * time.Second, Gain: 1},
+			{Name: "once", Aim: 10 * time.Second, Gain: 1, Effect: ringdale.EffectSingleShot},
+		},
+		Kinds: []ringdale.Kind{{Name: "r", Role: ringdale.RoleReader, Memory: 2e5}, {Name: "w", Role: ringdale.RoleWriter, Memory: 2e5}},
+		Cold:  time.Second, ColdShare: 0.3, Fall: time.Second, FallMultiple: 3, PinLimit: 500 * time.Millisecond,
+	}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := New(router, f, f, Figures{Slack: 50 * time.Millisecond, PinLimit: 500 * time.Millisecond, MaxSends: 4},
+		slog.New(slog.DiscardHandler), invariant.New())
+	go c.Run(t.Context())
+	c.Roster(ringdale.RosterFull, []Member{
+		{ServerInfo: ringdale.ServerInfo{Name: "r1", Kind: "r", Weight: 1}},
+		{ServerInfo: ringdale.ServerInfo{Name: "w1", Kind: "w", Weight: 1}},
+	})
+	return c
+}
+
+func ask(class string, ttl time.Duration) Request {
+	return Request{Wire: "id-" + class, Arrived: time.Now(), Request: ringdale.Request{Class: class, Prompt: 100, MaxTokens: 10, TTL: ttl}}
+}
+
+func ended(s ringdale.Status) (Stream, *Result) { return nil, &Result{Status: s} }
+
+// script reads at readers and does as told at writers.
+func script(writer func() (Stream, *Result)) func(Attempt) (Stream, *Result) {
+	return func(a Attempt) (Stream, *Result) {
+		if a.To.Kind == "r" {
+			return ended(ringdale.StatusRead)
+		}
+		return writer()
+	}
+}
+
+func TestFinalAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name, class string
+		writer      func() (Stream, *Result)
+		want        Verdict
+		attempts    []string
+	}{
+		{"a broken order is not sent again", "once", func() (Stream, *Result) { return ended(ringdale.StatusReset) }, Failed, []string{"r1", "w1"}},
+		{"an order that failed may have run", "once", func() (Stream, *Result) { return ended(ringdale.StatusError) }, Failed, []string{"r1", "w1"}},
+		{"a lookup that breaks is tried again", "free", func() (Stream, *Result) { return ended(ringdale.StatusReset) }, Refused, []string{"r1", "w1", "w1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fake{script: script(c.writer)}
+			core := newCore(t, f)
+			a, _, _ := Await(t.Context(), core, ask(c.class, time.Minute))
+			if a.Verdict != c.want || a.Verdict == Refused && a.RetryAfter <= 0 {
+				t.Errorf("answer %+v", a)
+			}
+			if err := core.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if n := len(c.attempts); len(f.attempts) < n || cmp.Diff(c.attempts, f.attempts[:n]) != "" || c.class == "once" && len(f.attempts) != n {
+				t.Errorf("attempts %v, want %v", f.attempts, c.attempts)
+			}
+			if !f.has("r1") || !f.has("w1") {
+				t.Errorf("released at %v only", f.released)
+			}
+		})
+	}
+}
+
+// A silent engine must not hold an answer past the deadline, nor may a read that
+// was given up leave its state.
+func TestSilenceEndsAtTheDeadline(t *testing.T) {
+	f := &fake{script: func(Attempt) (Stream, *Result) { return nil, nil }}
+	core := newCore(t, f)
+	start := time.Now()
+	a, _, _ := Await(t.Context(), core, ask("once", 200*time.Millisecond))
+	if took := time.Since(start); took < 100*time.Millisecond || a.Verdict == Serving {
+		t.Errorf("%+v after %v", a, took)
+	}
+	playback.Eventually(t, "the attempt is closed and its state let go", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.closed == len(f.attempts) && len(f.released) >= 2 // the second catches a read that ended meanwhile
+	})
+}
+
+// The backstop answers though the module has lost a request.
+func TestBackstopAnswersWithoutTheModule(t *testing.T) {
+	f := &fake{script: func(Attempt) (Stream, *Result) { return nil, nil }}
+	core := newCore(t, f)
+	w := make(waiter, 2)
+	core.post(func() {
+		q := &request{Request: ask("free", 0), front: w, held: map[string]Member{}}
+		core.after(0, func() { core.overdue(q); core.overdue(q) })
+	})
+	if a := <-w; a.Verdict != Overdue {
+		t.Errorf("%+v", a)
+	}
+	if err := core.Drain(t.Context()); err != nil || len(w) > 0 {
+		t.Errorf("%v; %d answers too many", err, len(w))
+	}
+}
+
+func TestClientGoneBeforeTheAnswer(t *testing.T) {
+	f := &fake{script: script(func() (Stream, *Result) { return nil, nil })}
+	core := newCore(t, f)
+	ticket := core.Submit(ask("free", time.Minute), make(waiter, 1))
+	playback.Eventually(t, "the writer is asked", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.attempts) == 2
+	})
+	ticket.Gone()
+	if err := core.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if f.closed != 2 || !f.has("r1") {
+		t.Errorf("%d of 2 attempts closed; released at %v", f.closed, f.released)
+	}
+}
+
+func TestOneRequestAWireID(t *testing.T) {
+	f := &fake{script: func(Attempt) (Stream, *Result) { return nil, nil }}
+	core := newCore(t, f)
+	core.Submit(ask("free", time.Minute), make(waiter, 1))
+	if a, _, _ := Await(t.Context(), core, ask("free", time.Minute)); a.Verdict != Failed || len(f.attempts) > 1 {
+		t.Errorf("%+v; attempts %v", a, f.attempts)
+	}
+}
+
+// text is a stream of one piece that ends as told.
+type text struct {
+	rest   string
+	end    error
+	closed bool
+}
+
+func (s *text) Read(p []byte) (int, error) {
+	if s.rest == "" {
+		return 0, s.end
+	}
+	n := copy(p, s.rest)
+	s.rest = s.rest[n:]
+	return n, nil
+}
+
+func (s *text) Result() Result {
+	if s.end == io.EOF {
+		return Result{Status: ringdale.StatusServed}
+	}
+	return Result{Status: ringdale.StatusReset}
+}
+
+func (s *text) Close() error { s.closed = true; return nil }
+
+func TestStreams(t *testing.T) {
+	lost := errors.New("lost")
+	for _, c := range []struct {
+		name       string
+		end, write error
+		releases   bool
+	}{
+		{"whole", io.EOF, nil, false},
+		{"broken", lost, nil, true},
+		{"client gone", io.EOF, lost, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &text{rest: "data: x\n\n", end: c.end}
+			f := &fake{script: script(func() (Stream, *Result) { return s, nil })}
+			core := newCore(t, f)
+			a, ticket, _ := Await(t.Context(), core, ask("once", time.Minute))
+			got := ""
+			err := ticket.Relay(t.Context(), a.Stream, func(p []byte) error { got += string(p); return c.write })
+			if (err != nil) != c.releases || got != "data: x\n\n" {
+				t.Errorf("passed on %q, %v", got, err)
+			}
+			if err := core.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if f.has("w1") != c.releases || len(f.attempts) != 2 || !s.closed {
+				t.Errorf("released at %v; attempts %v; closed %v", f.released, f.attempts, s.closed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/openai/front_test.go
@@ -0,0 +1,299 @@
+package openai
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"wellgw/internal/config"
+	"wellgw/internal/core"
+	"wellgw/internal/invariant"
+	"wellgw/internal/platform"
+	"wellgw/internal/playback"
+	"wellgw/internal/upstream"
+	"wellgw/ringdale"
+)
+
+const operator = `{
+	"listen": "127.0.0.1:0", "zone": "a",
+	"contracts": [
+		{"name": "lookup", "effect": "free", "aim_ms": 1000, "deadline_ms": 60000, "worth": 1},
+		{"name": "order", "effect": "single_shot", "aim_ms": 1000, "deadline_ms": 60000, "worth": 1},
+		{"name": "short", "effect": "single_shot", "aim_ms": 300, "deadline_ms": 300, "worth": 1}
+	],
+	"models": [{"name": "parts", "contract": "lookup"}, {"name": "orders", "contract": "order"}, {"name": "quick", "contract": "short"}, {"name": "hidden", "contract": "order"}],
+	"teams": [
+		{"name": "counter", "keys": ["k1"], "models": ["parts", "orders", "quick"]},
+		{"name": "poor", "keys": ["k2"], "models": ["parts"], "requests_per_s": 0.01}
+	],
+	"engines": [{"id": "e1", "address": "127.0.0.1:1", "role": "openai"}]
+}`
+
+// start starts a front on loopback before engines of the roles given.
+func start(t *testing.T, engines map[string]*playback.Engine) (url string, c *core.Core) {
+	o, err := config.ParseOperator([]byte(operator))
+	if err != nil {
+		t.Fatal(err)
+	}
+	router, err := ringdale.New(o.Settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := upstream.NewPool(upstream.Options{ConnectTimeout: time.Second, ConnIdle: time.Minute})
+	engine := upstream.NewEngine(pool, func(kind string) upstream.Dialect {
+		if kind == config.RoleOpenAI {
+			return Dialect{Key: "secret"}
+		}
+		return platform.Dialect{}
+	})
+	log := slog.New(slog.DiscardHandler)
+	c = core.New(router, engine, nil, core.Figures{Slack: 50 * time.Millisecond, PinLimit: 500 * time.Millisecond, MaxSends: 4}, log, invariant.New())
+	go c.Run(t.Context())
+	var members []core.Member
+	for role, e := range engines {
+		members = append(members, core.Member{ServerInfo: ringdale.ServerInfo{Name: role, Kind: role, Zone: "a", Weight: 1}, Addr: e.Addr})
+	}
+	c.Roster(ringdale.RosterFull, members)
+	server := httptest.NewUnstartedServer(NewFront(c, o))
+	server.Config.ErrorLog = slog.NewLogLogger(log.Handler(), 0)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.URL, c
+}
+
+func one(role string, script func(playback.Call) string, t *testing.T) (map[string]*playback.Engine, *playback.Engine) {
+	e := playback.NewEngine(t, script)
+	return map[string]*playback.Engine{role: e}, e
+}
+
+func chat(t *testing.T, url, key, model string, stream bool) (*http.Response, error) {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":%q,"stream":%v,"messages":[{"role":"system","content":"help"},{"role":"user","content":"a hull fitting"}]}`, model, stream)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+chatPath, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	return http.DefaultClient.Do(req)
+}
+
+func TestRecordedExchanges(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no recordings", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			engines, e := one(config.RoleOpenAI, func(c playback.Call) string {
+				if strings.Contains(c.Body, "reject") {
+					return playback.Status(400, "", "too long")
+				}
+				return playback.Stream(2, 0)
+			}, t)
+			url, c := start(t, engines)
+			playback.Play(t, strings.TrimPrefix(url, "http://"), file, "BIG", strings.Repeat("x", maxBody+1))
+			if err := c.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			for _, call := range e.Calls("POST") {
+				if !strings.Contains(call.Body, `"stream":true`) || !strings.Contains(call.Body, `"include_usage":true`) {
+					t.Errorf("the engine was sent %s", call.Body)
+				}
+			}
+		})
+	}
+}
+
+// A place-order stream that breaks, wherever it does, ends in one final answer
+// and is not sent again: its engine may have reserved stock already.
+func TestABrokenOrderIsNotSentAgain(t *testing.T) {
+	whole := playback.Stream(6, 0)
+	random := rand.New(rand.NewPCG(7, 11))
+	for n := range 40 {
+		cut, stream := random.IntN(len(whole)-1), n%2 == 0
+		t.Run(fmt.Sprintf("cut at %d, stream %v", cut, stream), func(t *testing.T) {
+			engines, e := one(config.RoleOpenAI, func(playback.Call) string { return whole[:cut] + playback.Cut }, t)
+			url, c := start(t, engines)
+			resp, err := chat(t, url, "k1", "orders", stream)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			text, err := io.ReadAll(resp.Body)
+			errors := strings.Count(string(text), `"error":`)
+			if resp.StatusCode == http.StatusOK { // begun: an error event, then no last chunk
+				if !stream || err == nil || errors != 1 {
+					t.Errorf("stream ended by %v with %d errors", err, errors)
+				}
+			} else if resp.StatusCode != http.StatusBadGateway || err != nil || errors != 1 {
+				t.Errorf("status %d, %v, %d errors", resp.StatusCode, err, errors)
+			}
+			if err := c.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if calls := e.Calls("POST"); len(calls) != 1 {
+				t.Errorf("sent %d times", len(calls))
+			}
+		})
+	}
+}
+
+// A lookup may be sent again, but never once its first event has been passed on.
+func TestALookupIsSentAgainBeforeItsFirstEventOnly(t *testing.T) {
+	for _, c := range []struct {
+		first  string
+		sent   int
+		broken bool
+	}{{playback.StreamHead + playback.Cut, 2, false}, {playback.Stream(2, 0)[:200] + playback.Cut, 1, true}} {
+		engines, e := one(config.RoleOpenAI, func(call playback.Call) string {
+			if call.N == 1 {
+				return c.first
+			}
+			return playback.Stream(2, 0)
+		}, t)
+		url, _ := start(t, engines)
+		resp, err := chat(t, url, "k1", "parts", true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if (err != nil) != c.broken || len(e.Calls("POST")) != c.sent {
+			t.Errorf("%v after %d sends, want %d", err, len(e.Calls("POST")), c.sent)
+		}
+	}
+}
+
+// A caller that drops mid-stream frees the state its request holds, at two-stage
+// engines by a release and at an OpenAI-only one by the closed connection.
+func TestACallerThatDropsFreesItsState(t *testing.T) {
+	whole := playback.Stream(6, 0)
+	random := rand.New(rand.NewPCG(3, 5))
+	begun := strings.Index(whole, "w1")
+	for range 8 {
+		at := begun + random.IntN(len(whole)-begun-10)
+		hang := func(c playback.Call) string {
+			if c.Method == http.MethodDelete {
+				return "HTTP/1.1 204 No Content\r\n\r\n"
+			}
+			return whole[:at] + playback.Hang
+		}
+		reader := playback.NewEngine(t, func(c playback.Call) string {
+			if c.Method == http.MethodDelete {
+				return "HTTP/1.1 204 No Content\r\n\r\n"
+			}
+			return playback.Status(202, "", `{"cached_tokens":0}`)
+		})
+		writer, alone := playback.NewEngine(t, hang), playback.NewEngine(t, hang)
+		for _, engines := range []map[string]*playback.Engine{
+			{config.RoleRead: reader, config.RoleWrite: writer}, {config.RoleOpenAI: alone},
+		} {
+			url, c := start(t, engines)
+			resp, err := chat(t, url, "k1", "orders", true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadFull(resp.Body, make([]byte, 10)); err != nil {
+				t.Fatal(err)
+			}
+			left := time.Now()
+			resp.Body.Close()
+			last := engines[config.RoleOpenAI]
+			if last == nil {
+				last = writer
+			}
+			before := len(reader.Calls("POST"))
+			playback.Eventually(t, "the attempt is closed", func() bool { return len(last.Dropped()) >= len(last.Calls("POST")) })
+			if last == writer {
+				playback.Eventually(t, "the state is let go", func() bool { return len(reader.Calls("DELETE")) >= before })
+			}
+			if took := time.Since(left); took > 500*time.Millisecond {
+				t.Errorf("freed after %v", took)
+			}
+			if err := c.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+func TestErrorsAreMapped(t *testing.T) {
+	for _, c := range []struct {
+		name, key, model, answer string
+		status                   int
+		sent                     int
+	}{
+		{"silence to the deadline", "k1", "quick", playback.Hang, 504, 1},
+		{"an order that failed", "k1", "orders", playback.Status(500, "", ""), 502, 1},
+		{"an order at an engine that says it is busy", "k1", "orders", playback.Status(503, "", ""), 502, 1},
+		{"an order that was turned away", "k1", "orders", playback.Status(429, "", ""), 503, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			engines, e := one(config.RoleOpenAI, func(playback.Call) string { return c.answer }, t)
+			url, _ := start(t, engines)
+			begin := time.Now()
+			resp, err := chat(t, url, c.key, c.model, false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != c.status || resp.Header.Get("Content-Type") != "application/json" {
+				t.Errorf("status %d, want %d", resp.StatusCode, c.status)
+			}
+			if c.status == 504 && time.Since(begin) < 250*time.Millisecond || c.status == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Errorf("after %v, Retry-After %q", time.Since(begin), resp.Header.Get("Retry-After"))
+			}
+			if n := len(e.Calls("POST")); c.sent > 0 && n != c.sent {
+				t.Errorf("sent %d times", n)
+			}
+		})
+	}
+}
+
+func TestASpentBudgetIsRefused(t *testing.T) {
+	engines, e := one(config.RoleOpenAI, func(playback.Call) string { return playback.Stream(1, 0) }, t)
+	url, _ := start(t, engines)
+	var got []int
+	for range 3 {
+		resp, err := chat(t, url, "k2", "parts", false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if got = append(got, resp.StatusCode); resp.StatusCode == 429 && resp.Header.Get("Retry-After") == "" {
+			t.Error("no Retry-After")
+		}
+	}
+	if diff := cmp.Diff([]int{200, 429, 429}, got); diff != "" || len(e.Calls("POST")) != 1 {
+		t.Errorf("sent %d times; (-want +got):\n%s", len(e.Calls("POST")), diff)
+	}
+}
+
+func TestDerive(t *testing.T) {
+	turn := func(messages string) shape {
+		q, _, err := parseChat([]byte(`{"model":"m","max_tokens":9,"messages":[` + messages + `]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return q.derive("team")
+	}
+	first := turn(`{"role":"system","content":"12345678"},{"role":"user","content":"hi"}`)
+	second := turn(`{"role":"system","content":"12345678"},{"role":"user","content":[{"type":"text","text":"hi"}]},{"role":"assistant","content":null},{"role":"user","content":"more"}`)
+	other := turn(`{"role":"system","content":"12345678"},{"role":"user","content":"ho"}`)
+	if first.session != second.session || first.session == other.session || first.opening != other.opening || first.opening == "" {
+		t.Errorf("sessions and openings: %+v %+v %+v", first, second, other)
+	}
+	first.session, first.opening = "", ""
+	if diff := cmp.Diff(shape{prompt: 2 + 1 + 2*messageTokens, openingLen: 2 + messageTokens, maxOut: 9}, first, cmp.AllowUnexported(shape{})); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,215 @@
+package platform
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"wellgw/internal/config"
+	"wellgw/internal/core"
+	"wellgw/internal/invariant"
+	"wellgw/internal/playback"
+	"wellgw/internal/upstream"
+	"wellgw/ringdale"
+)
+
+func list(revision int64, complete bool, entries ...string) config.List {
+	l := config.List{Revision: revision, Complete: complete}
+	for _, e := range entries {
+		var m config.ListEntry
+		fmt.Sscan(e, &m.ID, &m.Phase, &m.UpSince)
+		l.Members = append(l.Members, m)
+	}
+	return l
+}
+
+// What discovery has said of a drain holds, whatever older news comes after it.
+func TestRosterKeepsDrains(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		lists []config.List
+		want  map[string]ringdale.Phase
+	}{
+		{"a change", []config.List{list(1, true, "a active 0", "b active 0"), list(2, false, "a leaving 0")},
+			map[string]ringdale.Phase{"a": ringdale.PhaseDraining, "b": ringdale.PhaseOn}},
+		{"an older change after it", []config.List{list(1, true, "a active 0"), list(5, false, "a leaving 0"), list(4, false, "a active 0")},
+			map[string]ringdale.Phase{"a": ringdale.PhaseDraining}},
+		{"an older whole list after it", []config.List{list(5, false, "a leaving 0", "b active 0"), list(4, true, "a active 0")},
+			map[string]ringdale.Phase{"a": ringdale.PhaseDraining, "b": ringdale.PhaseOn}},
+		{"the same revision again", []config.List{list(5, false, "a left 0"), list(5, false, "a active 0")},
+			map[string]ringdale.Phase{"a": ringdale.PhaseOff}},
+		{"a late drain", []config.List{list(5, true, "a active 0"), list(4, false, "a leaving 0")},
+			map[string]ringdale.Phase{"a": ringdale.PhaseDraining}},
+		{"a late drain of an earlier start", []config.List{list(5, true, "a active 9"), list(4, false, "a leaving 0")},
+			map[string]ringdale.Phase{"a": ringdale.PhaseOn}},
+		{"a later start", []config.List{list(5, true, "a left 0"), list(6, false, "a active 9")},
+			map[string]ringdale.Phase{"a": ringdale.PhaseOn}},
+		{"absent from changes", []config.List{list(1, true, "a active 0", "b active 0"), list(2, false, "b active 0")},
+			map[string]ringdale.Phase{"a": ringdale.PhaseOn, "b": ringdale.PhaseOn}},
+		{"absent from a whole list", []config.List{list(1, true, "a active 0", "b active 0"), list(2, true, "b active 0")},
+			map[string]ringdale.Phase{"a": ringdale.PhaseOff, "b": ringdale.PhaseOn}},
+		{"an unknown phase", []config.List{list(1, true, "a odd 0")}, map[string]ringdale.Phase{"a": ringdale.PhaseDraining}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, got := NewRoster(), map[string]ringdale.Phase{}
+			for _, l := range c.lists {
+				for _, m := range r.Apply(l) {
+					got[m.Name] = m.Phase
+				}
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A watch that breaks goes on from the revision it had, and forgets no drain.
+func TestWatchGoesOnWhereItBroke(t *testing.T) {
+	var mu sync.Mutex
+	var asked []string
+	var got []string
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		asked = append(asked, r.URL.RawQuery)
+		n := len(asked)
+		mu.Unlock()
+		switch n {
+		case 1:
+			io.WriteString(w, "\n"+`{"revision":43,"complete":false,"members":[{"id":"a","phase":"leaving"}]}`+"\n")
+		case 2:
+			io.WriteString(w, `{"revision":42,"complete":true,"members":[{"id":"a","phase":"active"}]}`+"\n{")
+		default:
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}))
+	defer discovery.Close()
+	defer discovery.CloseClientConnections()
+	w := NewWatch(discovery.Listener.Addr().String(), false, func(scope ringdale.RosterScope, members []core.Member) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, m := range members {
+			got = append(got, fmt.Sprint(scope, m.Name, m.Phase))
+		}
+	}, slog.New(slog.DiscardHandler))
+	go w.Run(t.Context(), list(41, true, "a active 0"))
+	playback.Eventually(t, "a third watch", func() bool { mu.Lock(); defer mu.Unlock(); return len(asked) >= 3 })
+	mu.Lock()
+	defer mu.Unlock()
+	if diff := cmp.Diff([]string{"watch=1&after=41", "watch=1&after=43", "watch=1&after=43"}, asked[:3]); diff != "" {
+		t.Errorf("asked (-want +got):\n%s", diff)
+	}
+	want := []string{fmt.Sprint(ringdale.RosterCached, "a", ringdale.PhaseOn), fmt.Sprint(ringdale.RosterChanges, "a", ringdale.PhaseDraining)}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("told (-want +got):\n%s", diff)
+	}
+}
+
+// gateway starts a front on loopback before one reader and one writer.
+func gateway(t *testing.T, reader, writer func(playback.Call) string) (addr string, r, w *playback.Engine, c *core.Core) {
+	set := ringdale.Settings{
+		Zones: []string{"a"}, Routers: 1, MaxAttempts: 4, CanCancel: true, CanRetryAfter: true, MaxRetryAfter: time.Second,
+		Classes: []ringdale.Class{
+			{Name: "lookup", Aim: 10 * time.Second, Gain: 1},
+			{Name: "order", Aim: 10 * time.Second, Gain: 1, Effect: ringdale.EffectSingleShot},
+		},
+		Kinds: []ringdale.Kind{{Name: "r", Role: ringdale.RoleReader, Memory: 2e5}, {Name: "w", Role: ringdale.RoleWriter, Memory: 2e5}},
+		Cold:  time.Second, ColdShare: 0.3, Fall: time.Second, FallMultiple: 3, PinLimit: 500 * time.Millisecond,
+	}
+	router, err := ringdale.New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	release := func(script func(playback.Call) string) func(playback.Call) string {
+		return func(c playback.Call) string {
+			if c.Method == http.MethodDelete {
+				return "HTTP/1.1 204 No Content\r\n\r\n"
+			}
+			return script(c)
+		}
+	}
+	r, w = playback.NewEngine(t, release(reader)), playback.NewEngine(t, release(writer))
+	log := slog.New(slog.DiscardHandler)
+	pool := upstream.NewPool(upstream.Options{ConnectTimeout: time.Second, ConnIdle: time.Minute})
+	engine := upstream.NewEngine(pool, func(string) upstream.Dialect { return Dialect{} })
+	c = core.New(router, engine, nil, core.Figures{Slack: 50 * time.Millisecond, PinLimit: set.PinLimit, MaxSends: 4}, log, invariant.New())
+	go c.Run(t.Context())
+	c.Roster(ringdale.RosterFull, []core.Member{
+		{ServerInfo: ringdale.ServerInfo{Name: "r1", Kind: "r", Zone: "a", Weight: 1}, Addr: r.Addr},
+		{ServerInfo: ringdale.ServerInfo{Name: "w1", Kind: "w", Zone: "a", Weight: 1}, Addr: w.Addr},
+	})
+	server := httptest.NewUnstartedServer(NewFront(c, set.Classes))
+	server.Config.ErrorLog = slog.NewLogLogger(log.Handler(), 0)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), r, w, c
+}
+
+func read(playback.Call) string { return playback.Status(202, "", `{"cached_tokens":0}`) }
+
+// Each recording is played on a connection of its own.
+func TestRecordedExchanges(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no recordings", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			addr, r, w, c := gateway(t, read, func(c playback.Call) string {
+				if strings.Contains(c.Body, "break") {
+					whole := playback.Stream(2, 0)
+					return whole[:strings.Index(whole, "w1")] + playback.Cut
+				}
+				if strings.Contains(c.Body, "fail") {
+					return playback.Status(500, "", "")
+				}
+				return playback.Stream(2, 0)
+			})
+			playback.Play(t, addr, file, "BIG", strings.Repeat("x", maxBody+1))
+			if err := c.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if n := len(w.Calls("POST")); n > 1 || n != len(r.Calls("POST")) {
+				t.Errorf("%d reads, %d writes", len(r.Calls("POST")), n)
+			}
+		})
+	}
+}
+
+// A client that leaves mid-stream frees what it holds within the pin limit.
+func TestClientDropFreesItsState(t *testing.T) {
+	whole := playback.Stream(2, 0)
+	addr, r, w, _ := gateway(t, read, func(playback.Call) string { return whole[:len(whole)/2] + playback.Hang })
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+addr+"/v1/chat/completions", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range map[string]string{"X-Request-Id": "id1", "X-Class": "order", "X-Deadline-Ms": "60000", "X-Extras": "prompt_len=10"} {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(resp.Body, make([]byte, 20)); err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	left := time.Now()
+	playback.Eventually(t, "attempt closed, state freed", func() bool {
+		return len(w.Dropped()) == 1 && len(r.Calls("DELETE")) > 0 && len(w.Calls("DELETE")) > 0
+	})
+	if took := r.Calls("DELETE")[0].At.Sub(left); took > 500*time.Millisecond {
+		t.Errorf("freed after %v", took)
+	}
+}
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -153,9 +154,12 @@
 		}
 		return nil, r
 	}
-	s := &stream{try: t, c: c, resp: resp, dialect: dialect, silence: e.pool.opt.StreamSilence}
+	s := &stream{try: t, c: c, resp: resp, body: resp.Body, dialect: dialect, silence: e.pool.opt.StreamSilence}
 	s.buf = make([]byte, 4<<10)
-	n, err := resp.Body.Read(s.buf)
+	if slices.Contains(resp.TransferEncoding, "chunked") {
+		s.body = &chunked{r: c.r}
+	}
+	n, err := s.body.Read(s.buf)
 	if n == 0 { // the head alone gives the client nothing: the attempt has failed, not the stream
 		if errors.Is(err, io.EOF) {
 			return fail(ringdale.StatusError, errors.New("stream without an event"))
@@ -201,6 +205,7 @@
 	*try
 	c       *conn
 	resp    *http.Response
+	body    io.Reader
 	dialect Dialect
 	silence time.Duration
 	buf     []byte
@@ -228,7 +233,7 @@
 		until = time.Now().Add(s.silence)
 	}
 	s.c.SetDeadline(until)
-	n, err := s.resp.Body.Read(p)
+	n, err := s.body.Read(p)
 	s.note(p[:n])
 	if err != nil {
 		s.err = err
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,135 @@
+package upstream_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"wellgw/internal/core"
+	"wellgw/internal/platform"
+	"wellgw/internal/playback"
+	"wellgw/internal/upstream"
+	"wellgw/ringdale"
+)
+
+func engine(t *testing.T) *upstream.Engine {
+	pool := upstream.NewPool(upstream.Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, MaxConns: 8})
+	go pool.Sweep(t.Context())
+	return upstream.NewEngine(pool, func(string) upstream.Dialect { return platform.Dialect{} })
+}
+
+// attempt makes one attempt and waits for its end; text is what streamed.
+func attempt(e *upstream.Engine, addr string) (text string, r core.Result) {
+	end := make(chan core.Result, 1)
+	e.Start(core.Attempt{
+		Wire: "id1", To: core.Member{Addr: addr}, Limit: 10 * time.Second,
+		Payload: core.Payload{Method: "POST", Target: "/v1/chat/completions?x=1", Body: []byte(`{"a":1}`)},
+	}, func(s core.Stream) {
+		b, _ := io.ReadAll(s)
+		text = string(b)
+		end <- s.Result()
+	}, func(r core.Result) { end <- r })
+	r = <-end
+	r.Cause = nil
+	return text, r
+}
+
+func TestOutcomes(t *testing.T) {
+	notRun := "X-Not-Run: 1\r\n"
+	event := playback.Chunk("data: x\n\n")
+	for _, c := range []struct {
+		name, script, text string
+		want               core.Result
+	}{
+		{"read", playback.Status(202, "", `{"cached_tokens":4096}`), "", core.Result{Status: ringdale.StatusRead, Kept: 4096}},
+		{"read, odd body", playback.Status(202, "", `{`), "", core.Result{Status: ringdale.StatusRead}},
+		{"error", playback.Status(500, "", ""), "", core.Result{Status: ringdale.StatusError}},
+		{"full", playback.Status(503, notRun, ""), "", core.Result{Status: ringdale.StatusFull}},
+		{"over already", playback.Status(504, notRun, ""), "", core.Result{Status: ringdale.StatusFull}},
+		{"503 that proves nothing", playback.Status(503, "", ""), "", core.Result{Status: ringdale.StatusError}},
+		{"no state", playback.Status(410, notRun, ""), "", core.Result{Status: ringdale.StatusFull, NoState: true}},
+		{"410 that proves nothing", playback.Status(410, "", ""), "", core.Result{Status: ringdale.StatusError}},
+		{"break before the head", playback.Cut, "", core.Result{Status: ringdale.StatusReset}},
+		{"break in the head", "HTTP/1.1 20" + playback.Cut, "", core.Result{Status: ringdale.StatusReset}},
+		{"break before an event", playback.StreamHead + playback.Cut, "", core.Result{Status: ringdale.StatusReset}},
+		{"no event", playback.StreamHead + "0\r\n\r\n", "", core.Result{Status: ringdale.StatusError}},
+		{"break after an event", playback.StreamHead + event + playback.Cut, "data: x\n\n", core.Result{Status: ringdale.StatusReset}},
+		{"break in a chunk", playback.StreamHead + event + "9\r\nda" + playback.Cut, "data: x\n\nda", core.Result{Status: ringdale.StatusReset}},
+		{"whole", playback.StreamHead + event + playback.Chunk(`data: {"usage":{"prompt_tokens_details":{"cached_tokens":7}}}`+"\n") + "0\r\n\r\n",
+			"data: x\n\n" + `data: {"usage":{"prompt_tokens_details":{"cached_tokens":7}}}` + "\n", core.Result{Status: ringdale.StatusServed, Kept: 7}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := playback.NewEngine(t, func(playback.Call) string { return c.script })
+			text, got := attempt(engine(t), server.Addr)
+			if diff := cmp.Diff(c.want, got); diff != "" || text != c.text {
+				t.Errorf("text %q, result (-want +got):\n%s", text, diff)
+			}
+			if calls := server.Calls("POST"); len(calls) != 1 || calls[0].Path != "/v1/chat/completions?x=1" || calls[0].ID != "id1" || calls[0].Body != `{"a":1}` {
+				t.Errorf("calls %+v", calls)
+			}
+		})
+	}
+}
+
+func TestNoConnectionIsProvenNotToHaveRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close() // nobody listens there now
+	if _, r := attempt(engine(t), l.Addr().String()); r.Status != ringdale.StatusNoConnect {
+		t.Errorf("status %v", r.Status)
+	}
+}
+
+// A request on a kept connection that breaks may have run: it must not be sent
+// anew by the transport, as net/http's client would do.
+func TestABreakOnAKeptConnectionIsNotResent(t *testing.T) {
+	server := playback.NewEngine(t, func(c playback.Call) string {
+		if c.N == 2 {
+			return playback.Cut
+		}
+		return playback.Status(202, "", "{}")
+	})
+	e := engine(t)
+	var got []ringdale.Status
+	for range 3 {
+		_, r := attempt(e, server.Addr)
+		got = append(got, r.Status)
+	}
+	want := []ringdale.Status{ringdale.StatusRead, ringdale.StatusReset, ringdale.StatusRead}
+	if diff := cmp.Diff(want, got); diff != "" || len(server.Calls("POST")) != 3 {
+		t.Errorf("%d calls; statuses (-want +got):\n%s", len(server.Calls("POST")), diff)
+	}
+}
+
+func TestGivingUpClosesTheConnection(t *testing.T) {
+	server := playback.NewEngine(t, func(playback.Call) string { return playback.Hang })
+	cancel := engine(t).Start(core.Attempt{
+		To: core.Member{Addr: server.Addr}, Limit: time.Minute, Payload: core.Payload{Method: "POST", Target: "/"},
+	}, nil, func(core.Result) {})
+	playback.Eventually(t, "the request arrives", func() bool { return len(server.Calls("POST")) > 0 })
+	cancel()
+	cancel()
+	playback.Eventually(t, "the connection closes", func() bool { return len(server.Dropped()) == 1 })
+}
+
+func TestReleaseIsTriedAgain(t *testing.T) {
+	server := playback.NewEngine(t, func(c playback.Call) string {
+		if c.N < 3 {
+			return playback.Cut
+		}
+		return "HTTP/1.1 204 No Content\r\n\r\n"
+	})
+	done := make(chan error, 1)
+	engine(t).Release(core.Member{Addr: server.Addr}, "id1", time.Now().Add(time.Minute), func(err error) { done <- err })
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if calls := server.Calls("DELETE"); len(calls) != 3 || calls[0].Path != "/bootstrap/rooms/id1" {
+		t.Errorf("calls %+v", calls)
+	}
+}
