Test Consul, configuration and the running program; end connections when leaving

Seen: a request that was waiting when the gateway began to leave was answered without Connection: close, so its client could write the next one to a connection about to end. Line at fault: the header was set only as a request came in (platform/front.go, openai/front.go). Seen too: a decoder's error could span lines; configuration errors are now one line naming the field. Conclusion: start, service and leave are under test.

--- /dev/null
+++ b/cmd/wellgw/main_test.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+
+	"wellgw/internal/playback"
+)
+
+// TestMain runs the program itself when a test starts this binary as such.
+func TestMain(m *testing.M) {
+	if os.Getenv("WELLGW_TEST_RUN") == "1" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func program(t *testing.T, env []string, args ...string) *exec.Cmd {
+	cmd := exec.CommandContext(t.Context(), os.Args[0], args...)
+	cmd.Env = append(append(os.Environ(), "WELLGW_TEST_RUN=1"), env...)
+	return cmd
+}
+
+var listening = regexp.MustCompile(`msg=serving.* listen=(\S+)`)
+
+// serving starts the program and waits until it says where it listens.
+func serving(t *testing.T, env []string, args ...string) (*exec.Cmd, string) {
+	t.Helper()
+	cmd := program(t, env, args...)
+	errs, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	log := bufio.NewScanner(errs)
+	for log.Scan() {
+		if m := listening.FindStringSubmatch(log.Text()); m != nil {
+			go io.Copy(io.Discard, errs)
+			return cmd, "http://" + m[1]
+		}
+	}
+	t.Fatal("the program ended without serving")
+	return nil, ""
+}
+
+func file(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const settings = `{"az":"a","zones":["a"],"balancers":1,"kinds":["r","w"],"tick":4000,
+	"classes":[{"name":"order","aim":10000000,"hard_limit":60000000,"effect":"single_shot","gain":1}],
+	"family_info":{"duty_by_kind":["read","write"],"pin_limit":500000,"tokens_by_kind":[200000,200000]},
+	"limits":{"send_cap":4,"cancelling":true,"conn_idle":15000000,"connect_timeout":1000000},
+	"rules":{"answer_slack":16000,"fall":3000000,"fall_multiple":4,"cold_share":0.3,"cold":1000000}}`
+
+// The program takes its engines from discovery, serves, and on SIGTERM still
+// finishes what it has taken, on a connection that it ends, then exits with 0.
+func TestPlatformFromStartToLeave(t *testing.T) {
+	asked, answer := make(chan bool, 1), make(chan bool)
+	noContent := "HTTP/1.1 204 No Content\r\n\r\n"
+	reader := playback.NewEngine(t, func(c playback.Call) string {
+		if c.Method == http.MethodDelete {
+			return noContent
+		}
+		return playback.Status(202, "", `{"cached_tokens":0}`)
+	})
+	writer := playback.NewEngine(t, func(c playback.Call) string {
+		if c.Method == http.MethodDelete {
+			return noContent
+		}
+		asked <- true
+		<-answer
+		return playback.Stream(3, 0)
+	})
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"revision":2,"complete":true,"members":[{"id":"r1","host_port":%q,"locality":"a","flavor":"r","phase":"active","size":1},{"id":"w1","host_port":%q,"locality":"a","flavor":"w","phase":"active","size":1}]}`+"\n", reader.Addr, writer.Addr)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer discovery.Close()
+	defer discovery.CloseClientConnections()
+	config := file(t, fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","settings":%s}`, discovery.Listener.Addr(), settings))
+	cmd, url := serving(t, []string{"EDGE_CONFIG=" + config}, "serve")
+	playback.Eventually(t, "healthy", func() bool {
+		resp, err := http.Get(url + "/healthz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(`{}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range map[string]string{"X-Request-Id": "9b1f", "X-Class": "order", "X-Key": "s", "X-Deadline-Ms": "60000", "X-Extras": "prompt_len=100,max_out=50"} {
+		req.Header.Set(k, v)
+	}
+	type result struct {
+		status int
+		close  bool
+		text   string
+		err    error
+	}
+	got := make(chan result, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			got <- result{err: err}
+			return
+		}
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		got <- result{resp.StatusCode, resp.Close, string(b), err}
+	}()
+	<-asked
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	playback.Eventually(t, "unhealthy, or no longer listening", func() bool {
+		resp, err := http.Get(url + "/healthz")
+		if err != nil {
+			return true
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	close(answer)
+	if r := <-got; r.err != nil || r.status != 200 || !r.close || !strings.HasSuffix(r.text, "data: [DONE]\n\n") {
+		t.Errorf("answer %+v", r)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
+// The chat API that an operator's file sets up answers over sockets.
+func TestOperatorsChatAPI(t *testing.T) {
+	engine := playback.NewEngine(t, func(playback.Call) string { return playback.Stream(3, 0) })
+	raw, err := os.ReadFile("../../deploy/operator.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer("127.0.0.1:8080", "127.0.0.1:0", "127.0.0.1:9001", engine.Addr).Replace(string(raw))
+	cmd, url := serving(t, nil, "serve", "--operator", file(t, text))
+	playback.Eventually(t, "healthy", func() bool {
+		resp, err := http.Get(url + "/healthz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions",
+		strings.NewReader(`{"model":"order-assistant","messages":[{"role":"user","content":"two bolts"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer change-me-counter")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if err != nil || resp.StatusCode != 200 || !strings.Contains(string(b), `"content":"w0 w1 w2 "`) {
+		t.Errorf("%d %s %v", resp.StatusCode, b, err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
+func TestCommandLine(t *testing.T) {
+	bad := file(t, `{"listen":"nowhere"}`)
+	for _, c := range []struct {
+		args []string
+		exit int
+		out  string
+	}{
+		{[]string{"version"}, 0, "wellgw "},
+		{[]string{"check", "../../deploy/operator.json"}, 0, "ok\n"},
+		{[]string{"check", bad}, 1, "wellgw: check: " + bad + ": listen: "},
+		{[]string{"check"}, 1, "wellgw: check: name a file"},
+		{[]string{"serve"}, 1, "wellgw: EDGE_CONFIG: not set"},
+		{[]string{"serve", "--operator", bad}, 1, "wellgw: listen: "},
+	} {
+		cmd := program(t, []string{"EDGE_CONFIG="}, c.args...)
+		out, _ := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != c.exit || !strings.HasPrefix(string(out), c.out) || strings.Count(string(out), "\n") != 1 {
+			t.Errorf("%v: exit %d, %q", c.args, cmd.ProcessState.ExitCode(), out)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,64 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+const platformText = `{"name":"n1","listen":"127.0.0.1:3000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+	"known":{"revision":41,"complete":true,"members":[{"id":"a","host_port":"127.0.0.1:1","phase":"active"}]},
+	"settings":{"balancers":1,"classes":[{"name":"c","aim":1000000,"effect":"single_shot","hard_limit":4000000}],
+		"kinds":["m"],"family_info":{"duty_by_kind":["both"],"pin_limit":500000},"limits":{"send_cap":4},
+		"rules":{"fall":3000000,"fall_multiple":4,"cold_share":0.3}}}`
+
+// A mistake is named by its field, on one line.
+func TestMistakesAreNamed(t *testing.T) {
+	operator, err := os.ReadFile("../../deploy/operator.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	none := func(string) string { return "" }
+	platform := func(text string) error { _, err := ParsePlatform([]byte(text), none); return err }
+	chat := func(text string) error { _, err := ParseOperator([]byte(text)); return err }
+	for _, c := range []struct {
+		parse               func(string) error
+		text, old, new, say string
+	}{
+		{platform, platformText, "", "", ""},
+		{platform, platformText, `{"name"`, `{name`, "EDGE_CONFIG"},
+		{platform, platformText, `"127.0.0.1:3000"`, `"nowhere"`, "listen"},
+		{platform, platformText, `"127.0.0.1:8500"`, `""`, "discovery"},
+		{platform, platformText, `8c1f30d27a5be964`, `seed`, "seed"},
+		{platform, platformText, `"send_cap":4`, `"send_cap":0`, "settings: MaxAttempts"},
+		{chat, string(operator), "", "", ""},
+		{chat, string(operator), `"listen"`, `"lisen"`, "lisen"},
+		{chat, string(operator), `127.0.0.1:8080`, `8080`, "listen"},
+		{chat, string(operator), `"free"`, `"often"`, "contracts[0].effect"},
+		{chat, string(operator), `"aim_ms": 1000,`, `"aim_ms": 0,`, "contracts[0]"},
+		{chat, string(operator), `"contract": "place-order"`, `"contract": "x"`, "models[1].contract"},
+		{chat, string(operator), `change-me-boatyards`, `change-me-counter`, "teams[1].keys"},
+		{chat, string(operator), `["parts-assistant"]`, `["x"]`, "teams[1].models"},
+		{chat, string(operator), `"requests_per_s": 2`, `"requests_per_s": -2`, "teams[1].requests_per_s"},
+		{chat, string(operator), `"role": "openai"`, `"role": "x"`, "engines[0].role"},
+		{chat, string(operator), `127.0.0.1:9001`, `x`, "engines[0].address"},
+		{chat, string(operator), `"engines"`, `"consul": {"address": "127.0.0.1:8500"}, "engines"`, "consul"},
+	} {
+		if !strings.Contains(c.text, c.old) {
+			t.Fatalf("%q is not in the text", c.old)
+		}
+		err := c.parse(strings.Replace(c.text, c.old, c.new, 1))
+		if c.say == "" && err != nil || c.say != "" && (err == nil || !strings.Contains(err.Error(), c.say) || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%s -> %s: %v", c.old, c.new, err)
+		}
+	}
+}
+
+func TestVariablesComeFirst(t *testing.T) {
+	p, err := ParsePlatform([]byte(platformText), func(name string) string {
+		return map[string]string{"EDGE_LISTEN": "127.0.0.1:4000"}[name]
+	})
+	if err != nil || p.Listen != "127.0.0.1:4000" || p.Discovery != "127.0.0.1:8500" || p.Limits.Sockets != defaultSockets {
+		t.Errorf("%+v, %v", p, err)
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -105,7 +105,7 @@
 	o := &Operator{}
 	api := jsoniter.Config{EscapeHTML: true, DisallowUnknownFields: true}.Froze()
 	if err := api.Unmarshal(raw, o); err != nil {
-		return nil, fmt.Errorf("operator's file: %w", err)
+		return nil, fmt.Errorf("operator's file: %s", oneLine(err))
 	}
 	if len(o.Zones) == 0 {
 		o.Zones = []string{o.Zone}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -77,7 +78,7 @@
 func ParsePlatform(raw []byte, env func(string) string) (*Platform, error) {
 	p := &Platform{}
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, p); err != nil {
-		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+		return nil, fmt.Errorf("EDGE_CONFIG: %s", oneLine(err))
 	}
 	for name, field := range map[string]*string{"EDGE_NAME": &p.Name, "EDGE_LISTEN": &p.Listen, "EDGE_DISCOVERY": &p.Discovery} {
 		if v := env(name); v != "" {
@@ -107,6 +108,9 @@
 	return p, nil
 }
 
+// oneLine words a decoder's error, which may quote the text over several lines.
+func oneLine(err error) string { return strings.Join(strings.Fields(err.Error()), " ") }
+
 // SeedNumber is the seed for random numbers.
 func (p *Platform) SeedNumber() (uint64, error) {
 	if p.Seed == "" {
--- a/internal/consul/consul.go
+++ b/internal/consul/consul.go
@@ -15,6 +15,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -257,7 +258,7 @@
 	p := ringdale.PhaseOn
 	for _, c := range checks {
 		switch {
-		case c.CheckID == "_node_maintenance" || c.CheckID == "_service_maintenance" || len(c.CheckID) > 21 && c.CheckID[:21] == "_service_maintenance:":
+		case c.CheckID == "_node_maintenance" || strings.HasPrefix(c.CheckID, "_service_maintenance"):
 			p = max(p, ringdale.PhaseDraining)
 		case c.Status != "passing" && c.Status != "warning":
 			p = ringdale.PhaseOff
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -98,9 +98,7 @@
 
 // ServeHTTP serves the chat API, the list of models and the health check.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	f.lastOnes(w)
 	if r.URL.Path == "/healthz" {
 		if !f.core.Ready() || f.closing.Load() {
 			http.Error(w, "no engine to send to", http.StatusServiceUnavailable)
@@ -128,6 +126,13 @@
 	}
 }
 
+// lastOnes has the caller close its connection if the gateway is leaving.
+func (f *Front) lastOnes(w http.ResponseWriter) {
+	if f.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func (f *Front) team(r *http.Request) *config.Team {
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") {
@@ -196,6 +201,7 @@
 		Prompt: s.prompt, MaxTokens: s.maxOut, TTL: contract.Deadline(),
 	}
 	answer, ticket, here := core.Await(r.Context(), f.core, q)
+	f.lastOnes(w) // the request may have waited since before the gateway began to leave
 	switch {
 	case !here:
 		panic(http.ErrAbortHandler) // the caller has gone: there is nobody to answer
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -46,9 +46,7 @@
 
 // ServeHTTP takes chat requests and answers health checks.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	f.lastOnes(w)
 	switch r.URL.Path {
 	case "/healthz":
 		if !f.core.Ready() || f.closing.Load() {
@@ -63,6 +61,13 @@
 	}
 }
 
+// lastOnes has the client close its connection if the gateway is leaving.
+func (f *Front) lastOnes(w http.ResponseWriter) {
+	if f.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func (f *Front) chat(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	if r.Method != http.MethodPost {
@@ -89,6 +94,7 @@
 	if !here {
 		panic(http.ErrAbortHandler) // the client has gone: there is nobody to answer
 	}
+	f.lastOnes(w) // the request may have waited since before the gateway began to leave
 	if answer.Verdict == core.Serving {
 		f.stream(r.Context(), w, answer.Stream, ticket)
 		return
