Leave before SIGKILL: it follows three seconds and a bit, not the longest deadline

Lines at fault: leave in cmd/wellgw/serve.go and LongestWait in internal/config/platform.go. Now at 3.3 s what still waits gets its answer, streams are cut off where clients ask for the rest, states are let go, and the exit is 0 at about 3.5 s. A test plays it with an engine that hangs. Also: a second request of an id in hand is answered 409; a chat stream may pause for a minute.

--- a/cmd/wellgw/main_test.go
+++ b/cmd/wellgw/main_test.go
@@ -151,6 +151,52 @@
 	}
 }
 
+// Streams that outlast the time before SIGKILL are cut off in good order where
+// clients ask for the rest, so that their states are let go.
+func TestLeavingEndsWhatOutlastsIt(t *testing.T) {
+	noContent := "HTTP/1.1 204 No Content\r\n\r\n"
+	script := func(answer string) func(playback.Call) string {
+		return func(c playback.Call) string {
+			if c.Method == http.MethodDelete {
+				return noContent
+			}
+			return answer
+		}
+	}
+	reader := playback.NewEngine(t, script(playback.Status(202, "", "{}")))
+	writer := playback.NewEngine(t, script(playback.StreamHead+playback.Chunk("data: x\n\n")+playback.Hang))
+	config := file(t, fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":%s,
+		"known":{"revision":1,"complete":true,"members":[
+			{"id":"r1","host_port":%q,"locality":"a","flavor":"r","phase":"active"},
+			{"id":"w1","host_port":%q,"locality":"a","flavor":"w","phase":"active"}]}}`,
+		strings.Replace(settings, `"pin_limit"`, `"resume":true,"pin_limit"`, 1), reader.Addr, writer.Addr))
+	cmd, url := serving(t, []string{"EDGE_CONFIG=" + config}, "serve")
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range map[string]string{"X-Request-Id": "9b1f", "X-Class": "order", "X-Deadline-Ms": "60000", "X-Extras": "prompt_len=100"} {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := io.ReadAll(resp.Body); err == nil || string(b) != "data: x\n\n" {
+		t.Errorf("%q, %v", b, err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if len(reader.Calls("DELETE"))+len(writer.Calls("DELETE")) == 0 {
+		t.Error("nothing was let go")
+	}
+}
+
 // The chat API that an operator's file sets up answers over sockets.
 func TestOperatorsChatAPI(t *testing.T) {
 	engine := playback.NewEngine(t, func(playback.Call) string { return playback.Stream(3, 0) })
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -30,14 +29,20 @@
 
 // The program's own margins.
 const (
-	memoryPart    = 0.75                   // of the memory limit, for the Go heap
-	spareSockets  = 64                     // descriptors for all but clients and engines
-	acceptAfter   = 500 * time.Millisecond // SIGTERM: for so long new clients keep coming
-	killAfter     = 700 * time.Millisecond // SIGKILL follows the longest wait by no less
-	beforeKill    = 300 * time.Millisecond // what is left is cut off this much earlier
-	streamSilence = 4500 * time.Millisecond
-	headerLimit   = 16 << 10
-	logEvery      = 10 * time.Second
+	memoryPart   = 0.75                   // of the memory limit, for the Go heap
+	spareSockets = 64                     // descriptors for all but clients and engines
+	acceptAfter  = 500 * time.Millisecond // SIGTERM: for so long new clients keep coming
+	killAfter    = 700 * time.Millisecond // SIGKILL follows the longest wait, of longestWait at most,
+	longestWait  = 3 * time.Second        // by no less
+	beforeKill   = 400 * time.Millisecond // what is left is ended this much earlier
+	lastAnswers  = 100 * time.Millisecond // for the last answers to reach their clients
+
+	// A client that is left waiting for 5 s after a stream's last event has lost it
+	// on the platform. Elsewhere a model may well think for longer.
+	platformSilence = 4500 * time.Millisecond
+	chatSilence     = time.Minute
+	headerLimit     = 16 << 10
+	logEvery        = 10 * time.Second
 )
 
 // front is what stands between clients and the core.
@@ -58,7 +63,7 @@
 	front   func(*core.Core) front
 	// directory returns what the module may ask for changes, and its work.
 	directory func(tell func(ringdale.RosterScope, []core.Member)) (core.Directory, func(context.Context))
-	longest   time.Duration // wait of any client for its first token
+	longest   time.Duration // wait of any client for its first token, by the settings
 	resume    bool          // clients ask for the rest of a stream that is cut off
 	log       *slog.Logger
 }
@@ -96,6 +101,7 @@
 		listen: p.Listen, limits: p.Limits, set: p.Settings(), seed: seed, log: log.With("name", p.Name),
 		pool: upstream.Options{
 			ConnectTimeout: wire.Micros(p.Options.Limits.ConnTimeout), ConnIdle: wire.Micros(p.Options.Limits.ConnIdle),
+			StreamSilence: platformSilence,
 		},
 		dialect: func(string) upstream.Dialect { return platform.Dialect{} },
 		longest: p.LongestWait(), resume: p.Options.Info.Resume,
@@ -114,6 +120,7 @@
 		listen: o.Listen, limits: o.Limits, set: o.Settings(), seed: uint64(time.Now().UnixNano()), log: log,
 		front: func(c *core.Core) front { return openai.NewFront(c, o) },
 	}
+	g.pool.StreamSilence = chatSilence
 	g.pool.ConnectTimeout, g.pool.ConnIdle, g.figures.Slack = o.Network()
 	g.dialect = func(kind string) upstream.Dialect {
 		if kind == config.RoleOpenAI {
@@ -166,7 +173,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	share := max(16, (g.limits.Sockets-spareSockets)/2)
-	g.pool.MaxConns, g.pool.StreamSilence = share, streamSilence
+	g.pool.MaxConns = share
 	g.figures.PinLimit, g.figures.MaxSends = g.set.PinLimit, g.set.MaxAttempts
 	pool := upstream.NewPool(g.pool)
 	checks := invariant.New()
@@ -202,21 +209,23 @@
 
 // leave takes new requests for a moment more, since clients have yet to notice,
 // then finishes what is in hand. Where clients ask for the rest of a stream, what
-// still runs just before the kill is cut off; elsewhere it runs as long as it may.
+// still runs just before the kill is ended: a waiting request gets its answer, a
+// stream is cut off and its state let go. Elsewhere a stream must not be cut off
+// while its events come, so it runs as long as it may.
 func (g *gateway) leave(ctx context.Context, srv *http.Server, c *core.Core) {
-	kill := time.Now().Add(max(g.longest, 3*time.Second) + killAfter - beforeKill)
+	kill := time.Now().Add(min(g.longest, longestWait) + killAfter - beforeKill)
 	time.Sleep(acceptAfter)
 	finish, done := context.WithCancel(ctx)
 	if g.resume {
 		finish, done = context.WithDeadline(ctx, kill)
 	}
 	defer done()
-	if err := srv.Shutdown(finish); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		g.log.Warn("shutdown", "cause", err)
-	}
-	if finish.Err() != nil {
+	if err := srv.Shutdown(finish); err != nil {
+		g.log.Warn("time is up", "cause", err, "counts", c.Counts(ctx))
+		c.Abandon()
+		time.Sleep(lastAnswers)
 		srv.Close()
-		release, done := context.WithTimeout(ctx, beforeKill/2)
+		release, done := context.WithTimeout(ctx, lastAnswers)
 		defer done()
 		finish = release
 	}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -136,7 +136,7 @@
 
 // LongestWait is the longest time that a client waits for a first token.
 func (p *Platform) LongestWait() time.Duration {
-	longest := 3 * time.Second
+	longest := time.Duration(0)
 	for _, c := range p.Options.Classes {
 		longest = max(longest, wire.Micros(c.Limit))
 	}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -32,10 +32,11 @@
 
 // The final answers.
 const (
-	Refused Verdict = iota // not done, and trying again is harmless
-	Failed                 // nothing is promised
-	Overdue                // failed by the core itself: the deadline has passed
-	Serving                // the events of one attempt follow
+	Refused   Verdict = iota // not done, and trying again is harmless
+	Failed                   // nothing is promised
+	Overdue                  // failed by the core itself: the deadline has passed, or the gateway ends
+	Duplicate                // never begun: a request of that id is in hand
+	Serving                  // the events of one attempt follow
 )
 
 // Answer is the one final answer to a request.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -128,6 +130,18 @@
 	}
 }
 
+// Abandon gives every request that still waits its final answer, as the gateway
+// has no time left for it. Streams are the fronts' to end.
+func (c *Core) Abandon() {
+	c.post(func() {
+		for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+			if q := c.requests[id]; q != nil {
+				c.overdue(q)
+			}
+		}
+	})
+}
+
 // Counts returns how often each outcome and answer came, for the log.
 func (c *Core) Counts(ctx context.Context) map[string]int {
 	ch := make(chan map[string]int, 1)
@@ -238,7 +252,7 @@
 		// attempts and states. The first goes on; the second never ran.
 		q.answered = true
 		c.counts["duplicate id"]++
-		f.Answer(Answer{Verdict: Failed, Status: ringdale.StatusUnsent})
+		f.Answer(Answer{Verdict: Duplicate, Status: ringdale.StatusUnsent})
 		return
 	}
 	c.requests[q.ID], c.wires[in.Wire] = q, true
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -56,4 +56,4 @@
 	ringdale.StatusReset: "reset", ringdale.StatusCancelled: "cancelled", ringdale.StatusUnsent: "unsent",
 }
 
-var verdictNames = [...]string{Refused: "refused", Failed: "failed", Overdue: "overdue", Serving: "serving"}
+var verdictNames = [...]string{Refused: "refused", Failed: "failed", Overdue: "overdue", Duplicate: "duplicate", Serving: "serving"}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -111,6 +111,8 @@
 			w.Header().Set("Retry-After", core.RetryAfter(a.RetryAfter))
 		}
 		http.Error(w, "no server can take this in time", http.StatusServiceUnavailable)
+	case core.Duplicate:
+		http.Error(w, "a request of this id is in hand", http.StatusConflict)
 	case core.Overdue:
 		http.Error(w, "no answer in time", http.StatusGatewayTimeout)
 	default:
