Bound the bodies in hand by the memory limit, in one place for both fronts

Lines at fault: the body reads in both fronts and the copy in upstream's write. Now internal/intake gives bodies an eighth of the memory and refuses what is past it; write sends head and body with writev. An engine's 400, 413 or 422 reaches the caller of the chat API as 400 whatever the contract.

--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -19,6 +19,7 @@
 	"wellgw/internal/config"
 	"wellgw/internal/consul"
 	"wellgw/internal/core"
+	"wellgw/internal/intake"
 	"wellgw/internal/invariant"
 	"wellgw/internal/openai"
 	"wellgw/internal/platform"
@@ -30,6 +31,7 @@
 // The program's own margins.
 const (
 	memoryPart   = 0.75                   // of the memory limit, for the Go heap
+	bodyPart     = 0.125                  // of it, for bodies in hand; they are held up to three times over
 	spareSockets = 64                     // descriptors for all but clients and engines
 	acceptAfter  = 500 * time.Millisecond // SIGTERM: for so long new clients keep coming
 	killAfter    = 700 * time.Millisecond // SIGKILL follows the longest wait, of longestWait at most,
@@ -60,7 +62,7 @@
 	figures core.Figures
 	pool    upstream.Options
 	dialect func(kind string) upstream.Dialect
-	front   func(*core.Core) front
+	front   func(*core.Core, *intake.Budget) front
 	// directory returns what the module may ask for changes, and its work.
 	directory func(tell func(ringdale.RosterScope, []core.Member)) (core.Directory, func(context.Context))
 	longest   time.Duration // wait of any client for its first token, by the settings
@@ -107,7 +109,7 @@
 		longest: p.LongestWait(), resume: p.Options.Info.Resume,
 	}
 	g.figures.Slack = wire.Micros(p.Options.Rules.AnswerSlack)
-	g.front = func(c *core.Core) front { return platform.NewFront(c, g.set.Classes) }
+	g.front = func(c *core.Core, b *intake.Budget) front { return platform.NewFront(c, g.set.Classes, b) }
 	g.directory = func(tell func(ringdale.RosterScope, []core.Member)) (core.Directory, func(context.Context)) {
 		w := platform.NewWatch(p.Discovery, g.set.MustSubscribe, tell, g.log)
 		return w, func(ctx context.Context) { w.Run(ctx, p.Known) }
@@ -118,7 +120,7 @@
 func chatGateway(o *config.Operator, log *slog.Logger) *gateway {
 	g := &gateway{
 		listen: o.Listen, limits: o.Limits, set: o.Settings(), seed: uint64(time.Now().UnixNano()), log: log,
-		front: func(c *core.Core) front { return openai.NewFront(c, o) },
+		front: func(c *core.Core, b *intake.Budget) front { return openai.NewFront(c, o, b) },
 	}
 	g.pool.StreamSilence = chatSilence
 	g.pool.ConnectTimeout, g.pool.ConnIdle, g.figures.Slack = o.Network()
@@ -190,7 +192,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	f := g.front(c)
+	f := g.front(c, intake.NewBudget(int64(bodyPart*float64(g.limits.MemoryMB)*(1<<20))))
 	srv := newServer(f, g.log)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(netutil.LimitListener(l, share)) }()
--- a/internal/openai/events.go
+++ b/internal/openai/events.go
@@ -41,7 +41,8 @@
 	return nil
 }
 
-var done = []byte("[DONE]")
+// done is the data of the event that ends a stream.
+const done = "[DONE]"
 
 // chunk is an event of a stream, as far as it is read.
 type chunk struct {
@@ -108,7 +109,7 @@
 }
 
 func (w *whole) add(data []byte) error {
-	if bytes.Equal(data, done) {
+	if string(data) == done {
 		w.ended = true
 		return nil
 	}
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -1,7 +1,6 @@
 package openai
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
@@ -16,19 +15,21 @@
 
 	"wellgw/internal/config"
 	"wellgw/internal/core"
+	"wellgw/internal/intake"
 	"wellgw/ringdale"
 )
 
 // Bounds towards callers.
 const (
-	maxBody    = 256 << 10
 	writeLimit = 5 * time.Second // a caller that takes no byte for this long is given up
+	busyPause  = time.Second     // after which there may be memory for a body again
 	chatPath   = "/v1/chat/completions"
 )
 
 // Front answers callers of the chat API.
 type Front struct {
 	core      *core.Core
+	bodies    *intake.Budget
 	teams     map[[sha256.Size]byte]*config.Team // by the hash of a key, so that look-up time tells nothing of keys
 	contracts map[string]config.Contract         // by model
 	models    []string
@@ -38,8 +39,8 @@
 
 // NewFront returns a front to a core whose classes are the operator's contracts
 // and whose tenants are the teams.
-func NewFront(c *core.Core, o *config.Operator) *Front {
-	f := &Front{core: c, teams: map[[sha256.Size]byte]*config.Team{}, contracts: map[string]config.Contract{}, started: time.Now()}
+func NewFront(c *core.Core, o *config.Operator, bodies *intake.Budget) *Front {
+	f := &Front{core: c, bodies: bodies, teams: map[[sha256.Size]byte]*config.Team{}, contracts: map[string]config.Contract{}, started: time.Now()}
 	for i := range o.Teams {
 		for _, k := range o.Teams[i].Keys {
 			f.teams[sha256.Sum256([]byte(k))] = &o.Teams[i]
@@ -168,14 +169,19 @@
 
 func (f *Front) chat(w http.ResponseWriter, r *http.Request, team *config.Team) {
 	arrived := time.Now()
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if tooBig := (*http.MaxBytesError)(nil); errors.As(err, &tooBig) {
-		apiError{status: http.StatusRequestEntityTooLarge, kind: "invalid_request_error", text: "the body is over 256 KiB"}.send(w)
+	raw, free, err := f.bodies.Read(w, r)
+	switch {
+	case errors.Is(err, intake.ErrTooBig):
+		apiError{status: http.StatusRequestEntityTooLarge, kind: "invalid_request_error", text: err.Error()}.send(w)
+		return
+	case errors.Is(err, intake.ErrBusy):
+		refusal(core.Answer{Verdict: core.Refused, RetryAfter: busyPause}).send(w)
 		return
-	} else if err != nil {
-		badRequest("the body was cut short", "").send(w)
+	case err != nil:
+		badRequest(err.Error(), "").send(w)
 		return
 	}
+	defer free()
 	chat, body, err := parseChat(raw)
 	if err != nil {
 		var p paramError
@@ -217,6 +223,10 @@
 // refusal words a final answer that is no stream. Only 429 and 503 say that trying
 // again is harmless; 502 and 504 promise nothing.
 func refusal(a core.Answer) apiError {
+	var e *EngineError
+	if errors.As(a.Cause, &e) && slices.Contains([]int{http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity}, e.Status) {
+		return badRequest("the engine did not accept the request: "+firstLine(string(e.Body)), "")
+	}
 	switch {
 	case a.Verdict == core.Refused && a.OverQuota:
 		return apiError{status: http.StatusTooManyRequests, kind: "rate_limit_error", code: "rate_limit_exceeded",
@@ -228,10 +238,6 @@
 		return apiError{status: http.StatusGatewayTimeout, kind: "server_error", code: "timeout",
 			text: "no engine answered in time; the request may have been carried out"}
 	}
-	var e *EngineError
-	if errors.As(a.Cause, &e) && e.Status >= 400 && e.Status < 500 && e.Status != http.StatusUnauthorized && e.Status != http.StatusForbidden {
-		return badRequest("the engine did not accept the request: "+firstLine(string(e.Body)), "")
-	}
 	return apiError{status: http.StatusBadGateway, kind: "server_error", code: "engine_failed",
 		text: "an engine failed; the request may have been carried out"}
 }
@@ -253,7 +259,7 @@
 		return out.Flush()
 	}
 	split := &events{each: func(data []byte) error {
-		if bytes.Equal(data, done) {
+		if string(data) == done {
 			return send(data)
 		}
 		var c chunk
--- a/internal/openai/front_test.go
+++ b/internal/openai/front_test.go
@@ -16,6 +16,7 @@
 
 	"wellgw/internal/config"
 	"wellgw/internal/core"
+	"wellgw/internal/intake"
 	"wellgw/internal/invariant"
 	"wellgw/internal/platform"
 	"wellgw/internal/playback"
@@ -63,7 +64,7 @@
 		members = append(members, core.Member{ServerInfo: ringdale.ServerInfo{Name: role, Kind: role, Zone: "a", Weight: 1}, Addr: e.Addr})
 	}
 	c.Roster(ringdale.RosterFull, members)
-	server := httptest.NewUnstartedServer(NewFront(c, o))
+	server := httptest.NewUnstartedServer(NewFront(c, o, intake.NewBudget(1<<20)))
 	server.Config.ErrorLog = slog.NewLogLogger(log.Handler(), 0)
 	server.Start()
 	t.Cleanup(server.Close)
@@ -100,7 +101,7 @@
 				return playback.Stream(2, 0)
 			}, t)
 			url, c := start(t, engines)
-			playback.Play(t, strings.TrimPrefix(url, "http://"), file, "BIG", strings.Repeat("x", maxBody+1))
+			playback.Play(t, strings.TrimPrefix(url, "http://"), file, "BIG", strings.Repeat("x", intake.MaxBody+1))
 			if err := c.Drain(t.Context()); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -6,34 +6,35 @@
 	"fmt"
 	"io"
 	"net/http"
-	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"wellgw/internal/core"
+	"wellgw/internal/intake"
 	"wellgw/ringdale"
 )
 
 // Bounds towards clients.
 const (
-	maxBody    = 256 << 10
 	maxSpan    = time.Hour       // of a deadline or hint; more is a mistake
 	maxTokens  = 1 << 30         // of any length in tokens
+	busyPause  = time.Second     // after which there may be memory for a body again
 	writeLimit = 5 * time.Second // a client that takes no byte for this long is given up
 )
 
 // Front answers the platform's clients.
 type Front struct {
 	core    *core.Core
+	bodies  *intake.Budget
 	classes map[string]bool
 	closing atomic.Bool
 }
 
 // NewFront returns a front to a core that knows these classes.
-func NewFront(c *core.Core, classes []ringdale.Class) *Front {
-	f := &Front{core: c, classes: map[string]bool{}}
+func NewFront(c *core.Core, classes []ringdale.Class, bodies *intake.Budget) *Front {
+	f := &Front{core: c, bodies: bodies, classes: map[string]bool{}}
 	for _, class := range classes {
 		f.classes[class.Name] = true
 	}
@@ -82,14 +83,20 @@
 	}
 	q.Arrived = arrived
 	q.Payload = core.Payload{Method: r.Method, Target: r.URL.RequestURI()}
-	q.Payload.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if tooBig := (*http.MaxBytesError)(nil); errors.As(err, &tooBig) {
-		http.Error(w, "body over 256 KiB", http.StatusRequestEntityTooLarge)
+	body, free, err := f.bodies.Read(w, r)
+	switch {
+	case errors.Is(err, intake.ErrTooBig):
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
-	} else if err != nil {
-		http.Error(w, "body cut short", http.StatusBadRequest)
+	case errors.Is(err, intake.ErrBusy):
+		refuse(w, core.Answer{Verdict: core.Refused, RetryAfter: busyPause})
+		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	defer free()
+	q.Payload.Body = body
 	answer, ticket, here := core.Await(r.Context(), f.core, q)
 	if !here {
 		panic(http.ErrAbortHandler) // the client has gone: there is nobody to answer
@@ -147,14 +154,20 @@
 	_ = out.SetWriteDeadline(time.Time{})
 }
 
-var wireID = regexp.MustCompile(`^[0-9A-Za-z_.:-]{1,64}$`)
+// validID tells whether an id can stand in a header and in a path as it is.
+func validID(id string) bool {
+	odd := func(r rune) bool {
+		return !(r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || strings.ContainsRune("_.:-", r))
+	}
+	return id != "" && len(id) <= 64 && !strings.ContainsFunc(id, odd)
+}
 
 // parse reads a request's headers. What is missing or malformed is named.
 func (f *Front) parse(r *http.Request) (core.Request, error) {
 	h := r.Header
 	q := core.Request{Wire: h.Get("X-Request-Id")}
 	q.Class, q.Tenant, q.Session = h.Get("X-Class"), h.Get("X-Tenant"), h.Get("X-Key")
-	if !wireID.MatchString(q.Wire) {
+	if !validID(q.Wire) {
 		return q, errors.New("X-Request-Id: missing or malformed")
 	}
 	if !f.classes[q.Class] {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -16,6 +16,7 @@
 
 	"wellgw/internal/config"
 	"wellgw/internal/core"
+	"wellgw/internal/intake"
 	"wellgw/internal/invariant"
 	"wellgw/internal/playback"
 	"wellgw/internal/upstream"
@@ -148,7 +149,7 @@
 		{ServerInfo: ringdale.ServerInfo{Name: "r1", Kind: "r", Zone: "a", Weight: 1}, Addr: r.Addr},
 		{ServerInfo: ringdale.ServerInfo{Name: "w1", Kind: "w", Zone: "a", Weight: 1}, Addr: w.Addr},
 	})
-	server := httptest.NewUnstartedServer(NewFront(c, set.Classes))
+	server := httptest.NewUnstartedServer(NewFront(c, set.Classes, intake.NewBudget(1<<20)))
 	server.Config.ErrorLog = slog.NewLogLogger(log.Handler(), 0)
 	server.Start()
 	t.Cleanup(server.Close)
@@ -175,7 +176,7 @@
 				}
 				return playback.Stream(2, 0)
 			})
-			playback.Play(t, addr, file, "BIG", strings.Repeat("x", maxBody+1))
+			playback.Play(t, addr, file, "BIG", strings.Repeat("x", intake.MaxBody+1))
 			if err := c.Drain(t.Context()); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -37,10 +37,6 @@
 	revision int64
 }
 
-var phases = map[string]ringdale.Phase{
-	"active": ringdale.PhaseOn, "leaving": ringdale.PhaseDraining, "left": ringdale.PhaseOff,
-}
-
 // NewRoster returns an empty roster.
 func NewRoster() *Roster { return &Roster{entries: map[string]entry{}} }
 
@@ -80,8 +76,11 @@
 
 // phaseOf reads a phase; one that is unknown is not sent to.
 func phaseOf(s string) ringdale.Phase {
-	if p, known := phases[s]; known {
-		return p
+	switch s {
+	case "active":
+		return ringdale.PhaseOn
+	case "left":
+		return ringdale.PhaseOff
 	}
 	return ringdale.PhaseDraining
 }
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -170,24 +171,24 @@
 	return s, core.Result{}
 }
 
-// write sends a call in one piece. It fails only if the last byte is not out.
+// write sends a call in one piece, without a copy of its body. It fails only if
+// the last byte is not out.
 func write(c *conn, call Call) error {
-	var b bytes.Buffer
-	b.Grow(512 + len(call.Body))
-	b.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + c.addr + "\r\n")
+	var head bytes.Buffer
+	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + c.addr + "\r\n")
 	for _, h := range call.Header {
-		b.WriteString(h[0] + ": " + h[1] + "\r\n")
+		head.WriteString(h[0] + ": " + h[1] + "\r\n")
 	}
 	if len(call.Body) > 0 {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+		head.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
 	}
-	b.WriteString("\r\n")
-	b.Write(call.Body)
-	n, err := c.Write(b.Bytes())
-	if n == b.Len() {
-		return nil
+	head.WriteString("\r\n")
+	all := net.Buffers{head.Bytes(), call.Body}
+	whole := int64(head.Len() + len(call.Body))
+	if n, err := all.WriteTo(c.Conn); n < whole {
+		return err
 	}
-	return err
+	return nil
 }
 
 // readHead reads an answer's head, past any interim ones.
