Play the chat API through Consul end to end; report an engine's own error as one

Lines at fault: internal/openai/events.go and the stream's filter in front.go. Now the event passes unchanged, and a caller that does not stream gets 502. A max_tokens past all sense is believed up to 16384, as the module would refuse what no engine could ever hold. Conclusion: both ways of finding engines are proven by the running program.

--- a/cmd/wellgw/main_test.go
+++ b/cmd/wellgw/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -56,6 +57,44 @@
 	return nil, ""
 }
 
+// healthy waits until the program can serve.
+func healthy(t *testing.T, url string) {
+	t.Helper()
+	playback.Eventually(t, "healthy", func() bool {
+		resp, err := http.Get(url + "/healthz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// post makes a platform client's request.
+func post(t *testing.T, url string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(`{}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range map[string]string{"X-Request-Id": "9b1f", "X-Class": "order", "X-Key": "s", "X-Deadline-Ms": "60000", "X-Extras": "prompt_len=100,max_out=50"} {
+		req.Header.Set(k, v)
+	}
+	return req
+}
+
+// until answers a release at once and anything else by script.
+func until(script func() string) func(playback.Call) string {
+	return func(c playback.Call) string {
+		if c.Method == http.MethodDelete {
+			return "HTTP/1.1 204 No Content\r\n\r\n"
+		}
+		return script()
+	}
+}
+
+func read() string { return playback.Status(202, "", `{"cached_tokens":0}`) }
+
 func file(t *testing.T, text string) string {
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -74,21 +113,12 @@
 // finishes what it has taken, on a connection that it ends, then exits with 0.
 func TestPlatformFromStartToLeave(t *testing.T) {
 	asked, answer := make(chan bool, 1), make(chan bool)
-	noContent := "HTTP/1.1 204 No Content\r\n\r\n"
-	reader := playback.NewEngine(t, func(c playback.Call) string {
-		if c.Method == http.MethodDelete {
-			return noContent
-		}
-		return playback.Status(202, "", `{"cached_tokens":0}`)
-	})
-	writer := playback.NewEngine(t, func(c playback.Call) string {
-		if c.Method == http.MethodDelete {
-			return noContent
-		}
+	reader := playback.NewEngine(t, until(read))
+	writer := playback.NewEngine(t, until(func() string {
 		asked <- true
 		<-answer
 		return playback.Stream(3, 0)
-	})
+	}))
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintf(w, `{"revision":2,"complete":true,"members":[{"id":"r1","host_port":%q,"locality":"a","flavor":"r","phase":"active","size":1},{"id":"w1","host_port":%q,"locality":"a","flavor":"w","phase":"active","size":1}]}`+"\n", reader.Addr, writer.Addr)
 		w.(http.Flusher).Flush()
@@ -98,21 +128,8 @@
 	defer discovery.CloseClientConnections()
 	config := file(t, fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","settings":%s}`, discovery.Listener.Addr(), settings))
 	cmd, url := serving(t, []string{"EDGE_CONFIG=" + config}, "serve")
-	playback.Eventually(t, "healthy", func() bool {
-		resp, err := http.Get(url + "/healthz")
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(`{}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for k, v := range map[string]string{"X-Request-Id": "9b1f", "X-Class": "order", "X-Key": "s", "X-Deadline-Ms": "60000", "X-Extras": "prompt_len=100,max_out=50"} {
-		req.Header.Set(k, v)
-	}
+	healthy(t, url)
+	req := post(t, url)
 	type result struct {
 		status int
 		close  bool
@@ -154,30 +171,17 @@
 // Streams that outlast the time before SIGKILL are cut off in good order where
 // clients ask for the rest, so that their states are let go.
 func TestLeavingEndsWhatOutlastsIt(t *testing.T) {
-	noContent := "HTTP/1.1 204 No Content\r\n\r\n"
-	script := func(answer string) func(playback.Call) string {
-		return func(c playback.Call) string {
-			if c.Method == http.MethodDelete {
-				return noContent
-			}
-			return answer
-		}
-	}
-	reader := playback.NewEngine(t, script(playback.Status(202, "", "{}")))
-	writer := playback.NewEngine(t, script(playback.StreamHead+playback.Chunk("data: x\n\n")+playback.Hang))
+	reader := playback.NewEngine(t, until(read))
+	writer := playback.NewEngine(t, until(func() string {
+		return playback.StreamHead + playback.Chunk("data: x\n\n") + playback.Hang
+	}))
 	config := file(t, fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":%s,
 		"known":{"revision":1,"complete":true,"members":[
 			{"id":"r1","host_port":%q,"locality":"a","flavor":"r","phase":"active"},
 			{"id":"w1","host_port":%q,"locality":"a","flavor":"w","phase":"active"}]}}`,
 		strings.Replace(settings, `"pin_limit"`, `"resume":true,"pin_limit"`, 1), reader.Addr, writer.Addr))
 	cmd, url := serving(t, []string{"EDGE_CONFIG=" + config}, "serve")
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for k, v := range map[string]string{"X-Request-Id": "9b1f", "X-Class": "order", "X-Deadline-Ms": "60000", "X-Extras": "prompt_len=100"} {
-		req.Header.Set(k, v)
-	}
+	req := post(t, url)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
@@ -200,40 +204,50 @@
 // The chat API that an operator's file sets up answers over sockets.
 func TestOperatorsChatAPI(t *testing.T) {
 	engine := playback.NewEngine(t, func(playback.Call) string { return playback.Stream(3, 0) })
-	raw, err := os.ReadFile("../../deploy/operator.json")
+	host, port, err := net.SplitHostPort(engine.Addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := strings.NewReplacer("127.0.0.1:8080", "127.0.0.1:0", "127.0.0.1:9001", engine.Addr).Replace(string(raw))
-	cmd, url := serving(t, nil, "serve", "--operator", file(t, text))
-	playback.Eventually(t, "healthy", func() bool {
-		resp, err := http.Get(url + "/healthz")
-		if err != nil {
-			return false
+	consul := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/health/service/llm" || r.URL.Query().Get("index") != "" {
+			<-r.Context().Done()
+			return
 		}
-		resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions",
-		strings.NewReader(`{"model":"order-assistant","messages":[{"role":"user","content":"two bolts"}]}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Authorization", "Bearer change-me-counter")
-	resp, err := http.DefaultClient.Do(req)
+		w.Header().Set("X-Consul-Index", "12")
+		fmt.Fprintf(w, `[{"Service":{"ID":"e1","Address":%q,"Port":%s,"Meta":{"role":"openai"}},"Checks":[{"Status":"passing"}]}]`, host, port)
+	}))
+	defer consul.Close()
+	defer consul.CloseClientConnections()
+	raw, err := os.ReadFile("../../deploy/operator.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b, err := io.ReadAll(resp.Body)
-	resp.Body.Close()
-	if err != nil || resp.StatusCode != 200 || !strings.Contains(string(b), `"content":"w0 w1 w2 "`) {
-		t.Errorf("%d %s %v", resp.StatusCode, b, err)
-	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Wait(); err != nil {
-		t.Errorf("exit: %v", err)
+	static := strings.NewReplacer("127.0.0.1:8080", "127.0.0.1:0", "127.0.0.1:9001", engine.Addr).Replace(string(raw))
+	list := regexp.MustCompile(`(?s)"engines": \[.*?\]`)
+	for _, text := range []string{
+		static, list.ReplaceAllString(static, fmt.Sprintf(`"consul": {"address": %q, "service": "llm"}`, consul.Listener.Addr())),
+	} {
+		cmd, url := serving(t, nil, "serve", "--operator", file(t, text))
+		healthy(t, url)
+		req := post(t, url)
+		req.Body = io.NopCloser(strings.NewReader(`{"model":"order-assistant","messages":[{"role":"user","content":"two bolts"}]}`))
+		req.ContentLength = -1
+		req.Header.Set("Authorization", "Bearer change-me-counter")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != 200 || !strings.Contains(string(b), `"content":"w0 w1 w2 "`) {
+			t.Errorf("%d %s %v", resp.StatusCode, b, err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("exit: %v", err)
+		}
 	}
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -114,15 +114,7 @@
 	if o.MemoryTokens <= 0 {
 		o.MemoryTokens = defaultMemoryTokens
 	}
-	if o.Limits.Cores <= 0 {
-		o.Limits.Cores = 1
-	}
-	if o.Limits.MemoryMB <= 0 {
-		o.Limits.MemoryMB = defaultMemoryMB
-	}
-	if o.Limits.Sockets <= 0 {
-		o.Limits.Sockets = defaultSockets
-	}
+	o.Limits.fill()
 	if err := o.validate(); err != nil {
 		return nil, err
 	}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -60,6 +60,19 @@
 	defaultSockets  = 1024
 )
 
+// fill puts defaults in the place of what is absent.
+func (l *Limits) fill() {
+	if l.Cores <= 0 {
+		l.Cores = 1
+	}
+	if l.MemoryMB <= 0 {
+		l.MemoryMB = defaultMemoryMB
+	}
+	if l.Sockets <= 0 {
+		l.Sockets = defaultSockets
+	}
+}
+
 // ReadPlatform reads the object that EDGE_CONFIG names; the other variables of
 // the platform come before what the object says. An error names the field.
 func ReadPlatform(env func(string) string) (*Platform, error) {
@@ -85,15 +98,7 @@
 			*field = v
 		}
 	}
-	if p.Limits.Cores <= 0 {
-		p.Limits.Cores = 1
-	}
-	if p.Limits.MemoryMB <= 0 {
-		p.Limits.MemoryMB = defaultMemoryMB
-	}
-	if p.Limits.Sockets <= 0 {
-		p.Limits.Sockets = defaultSockets
-	}
+	p.Limits.fill()
 	for _, a := range []struct{ field, value string }{{"listen", p.Listen}, {"discovery", p.Discovery}} {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return nil, fmt.Errorf("%s: %w", a.field, err)
--- /dev/null
+++ b/internal/invariant/invariant_test.go
@@ -0,0 +1,28 @@
+package invariant
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Broken statements are counted, or panic in a debug build.
+func TestHold(t *testing.T) {
+	c := New()
+	if !c.Hold(true, "a") || len(c.Broken()) > 0 {
+		t.Error("a statement that holds is held to be broken")
+	}
+	defer func() {
+		if p := recover(); (p != nil) != fatal {
+			t.Errorf("panic: %v", p)
+		}
+	}()
+	for _, what := range []string{"b", "a", "b"} {
+		if c.Hold(false, what) {
+			t.Error("a broken statement is held to hold")
+		}
+	}
+	if diff := cmp.Diff([]string{"a: 1", "b: 2"}, c.Broken()); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- a/internal/openai/events.go
+++ b/internal/openai/events.go
@@ -56,6 +56,7 @@
 		FinishReason string `json:"finish_reason"`
 	} `json:"choices"`
 	Usage *jsoniter.RawMessage `json:"usage"`
+	Error *jsoniter.RawMessage `json:"error"` // an engine's own word that it has failed
 }
 
 type toolCall struct {
@@ -120,6 +121,9 @@
 	if err := codec.Unmarshal(data, &c); err != nil {
 		return errors.New("an event that is not a chunk")
 	}
+	if c.Error != nil {
+		return errors.New("the engine reports an error")
+	}
 	if c.Usage != nil && string(*c.Usage) != "null" {
 		w.usage = c.Usage
 	}
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -269,6 +269,9 @@
 		if len(c.Choices) == 0 && c.Usage != nil && !usage {
 			return nil // asked for by the gateway, not by the caller
 		}
+		if c.Error != nil {
+			return send(data)
+		}
 		full, err := h.fill(data)
 		if err != nil {
 			return err
--- a/internal/openai/front_test.go
+++ b/internal/openai/front_test.go
@@ -234,6 +234,8 @@
 		{"silence to the deadline", "k1", "quick", playback.Hang, 504, 1},
 		{"an order that failed", "k1", "orders", playback.Status(500, "", ""), 502, 1},
 		{"an order at an engine that says it is busy", "k1", "orders", playback.Status(503, "", ""), 502, 1},
+		{"an engine that reports an error in its stream", "k1", "orders", playback.StreamHead +
+			playback.Chunk(`data: {"error":{"message":"out of memory"}}`+"\n\n") + playback.Chunk("data: [DONE]\n\n") + "0\r\n\r\n", 502, 1},
 		{"an order that was turned away", "k1", "orders", playback.Status(429, "", ""), 503, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -248,7 +250,7 @@
 			if resp.StatusCode != c.status || resp.Header.Get("Content-Type") != "application/json" {
 				t.Errorf("status %d, want %d", resp.StatusCode, c.status)
 			}
-			if c.status == 504 && time.Since(begin) < 250*time.Millisecond || c.status == 503 && resp.Header.Get("Retry-After") == "" {
+			if took := time.Since(begin); c.status == 504 && (took < 250*time.Millisecond || took > 5*time.Second) || c.status == 503 && resp.Header.Get("Retry-After") == "" {
 				t.Errorf("after %v, Retry-After %q", time.Since(begin), resp.Header.Get("Retry-After"))
 			}
 			if n := len(e.Calls("POST")); c.sent > 0 && n != c.sent {
@@ -291,6 +293,9 @@
 	if first.session != second.session || first.session == other.session || first.opening != other.opening || first.opening == "" {
 		t.Errorf("sessions and openings: %+v %+v %+v", first, second, other)
 	}
+	if q, _, err := parseChat([]byte(`{"model":"m","max_tokens":1000000000,"messages":[{"role":"user","content":"hi"}]}`)); err != nil || q.derive("").maxOut != mostOut {
+		t.Errorf("a limit past all sense: %v, %+v", err, q.derive(""))
+	}
 	first.session, first.opening = "", ""
 	if diff := cmp.Diff(shape{prompt: 2 + 1 + 2*messageTokens, openingLen: 2 + messageTokens, maxOut: 9}, first, cmp.AllowUnexported(shape{})); diff != "" {
 		t.Errorf("(-want +got):\n%s", diff)
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -16,8 +16,9 @@
 // Lengths in the API's terms.
 const (
 	charsPerToken = 4
-	defaultOut    = 512 // tokens, when the caller sets no limit
-	messageTokens = 4   // what a message's frame takes
+	defaultOut    = 512   // tokens, when the caller sets no limit
+	mostOut       = 16384 // that a limit is believed; a higher one says only that there is none
+	messageTokens = 4     // what a message's frame takes
 	maxMessages   = 2048
 )
 
@@ -138,6 +139,7 @@
 	if q.MaxCompletionTokens != nil {
 		s.maxOut = *q.MaxCompletionTokens
 	}
+	s.maxOut = min(s.maxOut, mostOut)
 	session := sha256.New()
 	fmt.Fprintf(session, "%q %q %q", team, q.Model, q.User)
 	begun := false
