Bound the head of an engine's answer to 64 KiB

Seen: a test engine with 20,000 header lines was read to its end; the library's reader knows no bound. Line at fault: readHead in internal/upstream/engine.go. Now the connection's reader gives it 64 KiB and the attempt ends as a reset, since its last byte was out. Conclusion: all that is read has a bound.

--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -40,6 +41,7 @@
 
 // Bounds of what is read and waited for.
 const (
+	maxHead      = 64 << 10 // of an answer, with what comes of its body meanwhile
 	maxAnswer    = 64 << 10 // of an answer that is no stream
 	tailSize     = 4 << 10
 	leakGuard    = 2 * time.Second // past an attempt's limit, should nobody give it up
@@ -193,6 +195,8 @@
 
 // readHead reads an answer's head, past any interim ones.
 func readHead(c *conn) (*http.Response, error) {
+	c.in.left = maxHead
+	defer func() { c.in.left = math.MaxInt64 }()
 	for {
 		resp, err := http.ReadResponse(c.r, nil)
 		if err != nil || resp.StatusCode >= 200 {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -29,12 +31,16 @@
 	connectPart = 0.95                   // of the connect time-out, so that ours comes first
 )
 
-var errTooMany = errors.New("all connections are in use")
+var (
+	errTooMany = errors.New("all connections are in use")
+	errHead    = errors.New("an answer's head is too long")
+)
 
 // conn is one connection to an engine.
 type conn struct {
 	net.Conn
-	r    *bufio.Reader
+	in   *bounded
+	r    *bufio.Reader // over in
 	addr string
 	idle time.Time // since when it has been idle
 }
@@ -118,7 +124,23 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, 4<<10), addr: addr}, nil
+	in := &bounded{r: nc, left: math.MaxInt64}
+	return &conn{Conn: nc, in: in, r: bufio.NewReaderSize(in, 4<<10), addr: addr}, nil
+}
+
+// bounded reads no more than is left. The library would read a head of any length.
+type bounded struct {
+	r    io.Reader
+	left int64
+}
+
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errHead
+	}
+	n, err := b.r.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
 }
 
 // evict closes an idle connection of any engine to make room. The lock is held.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +55,7 @@
 		{"410 that proves nothing", playback.Status(410, "", ""), "", core.Result{Status: ringdale.StatusError}},
 		{"break before the head", playback.Cut, "", core.Result{Status: ringdale.StatusReset}},
 		{"break in the head", "HTTP/1.1 20" + playback.Cut, "", core.Result{Status: ringdale.StatusReset}},
+		{"endless head", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: b\r\n", 20_000) + playback.Hang, "", core.Result{Status: ringdale.StatusReset}},
 		{"break before an event", playback.StreamHead + playback.Cut, "", core.Result{Status: ringdale.StatusReset}},
 		{"no event", playback.StreamHead + "0\r\n\r\n", "", core.Result{Status: ringdale.StatusError}},
 		{"break after an event", playback.StreamHead + event + playback.Cut, "data: x\n\n", core.Result{Status: ringdale.StatusReset}},
