Keep header and event formats out of the core; whole-second Retry-After on the chat API

Seen: core read usage events and worded Retry-After, though it is to know no wire; and the chat API sent decimals, which the HTTP standard does not allow and general clients may not read. Now KeptTokens stands in upstream, the platform front words its own decimals, and the chat front sends whole seconds with Retry-After-Ms beside them.

--- a/internal/core/await.go
+++ b/internal/core/await.go
@@ -1,11 +1,6 @@
 package core
 
-import (
-	"context"
-	"math"
-	"strconv"
-	"time"
-)
+import "context"
 
 // waiter is a Front for a caller that waits for the answer itself.
 type waiter chan Answer
@@ -28,8 +23,3 @@
 		return Answer{}, t, false
 	}
 }
-
-// RetryAfter words advice in seconds, with decimals, never as zero.
-func RetryAfter(d time.Duration) string {
-	return strconv.FormatFloat(math.Ceil(d.Seconds()*1000)/1000, 'f', -1, 64)
-}
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -7,8 +7,10 @@
 	"encoding/hex"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -87,7 +89,9 @@
 func (e apiError) send(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
 	if e.retryAfter > 0 {
-		w.Header().Set("Retry-After", core.RetryAfter(e.retryAfter))
+		// Whole seconds by the HTTP standard; callers' libraries know the finer one.
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.retryAfter.Seconds()))))
+		w.Header().Set("Retry-After-Ms", strconv.FormatInt(max(1, e.retryAfter.Milliseconds()), 10))
 	}
 	w.WriteHeader(e.status)
 	w.Write(append(e.object(), '\n'))
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -115,7 +116,7 @@
 	switch a.Verdict {
 	case core.Refused:
 		if a.RetryAfter > 0 {
-			w.Header().Set("Retry-After", core.RetryAfter(a.RetryAfter))
+			w.Header().Set("Retry-After", retryAfter(a.RetryAfter))
 		}
 		http.Error(w, "no server can take this in time", http.StatusServiceUnavailable)
 	case core.Duplicate:
@@ -131,6 +132,11 @@
 	}
 }
 
+// retryAfter words advice in seconds, with decimals, never as zero.
+func retryAfter(d time.Duration) string {
+	return strconv.FormatFloat(math.Ceil(d.Seconds()*1000)/1000, 'f', -1, 64)
+}
+
 // stream passes an attempt's events on, unchanged and as they come. If they
 // break, the connection is ended without the last chunk: only so does the client
 // learn that the stream is not whole.
--- a/internal/core/usage.go
+++ b/internal/upstream/usage.go
@@ -1,4 +1,4 @@
-package core
+package upstream
 
 import (
 	"bytes"
@@ -6,8 +6,8 @@
 	jsoniter "github.com/json-iterator/go"
 )
 
-// Usage is what a stream's last events say of the work.
-type Usage struct {
+// usage is what a stream's last events say of the work.
+type usage struct {
 	Prompt     int `json:"prompt_tokens"`
 	Completion int `json:"completion_tokens"`
 	Details    struct {
@@ -25,7 +25,7 @@
 			continue
 		}
 		var event struct {
-			Usage *Usage `json:"usage"`
+			Usage *usage `json:"usage"`
 		}
 		if jsoniter.Unmarshal(data, &event) == nil && event.Usage != nil {
 			kept = max(0, event.Usage.Details.Cached)
