--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -14,8 +14,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"wellgw/internal/config"
 	"wellgw/internal/consul"
 	"wellgw/internal/core"
@@ -32,7 +30,7 @@
 const (
 	memoryPart   = 0.75                   // of the memory limit, for the Go heap
 	bodyPart     = 0.125                  // of it, for bodies in hand; they are held up to three times over
-	spareSockets = 64                     // descriptors for all but clients and engines
+	spareSockets = 32                     // descriptors for all but clients and engines
 	acceptAfter  = 500 * time.Millisecond // SIGTERM: for so long new clients keep coming
 	killAfter    = 700 * time.Millisecond // SIGKILL follows the longest wait, of longestWait at most,
 	longestWait  = 3 * time.Second        // by no less
@@ -43,8 +41,14 @@
 	// on the platform. Elsewhere a model may well think for longer.
 	platformSilence = 4500 * time.Millisecond
 	chatSilence     = time.Minute
-	headerLimit     = 16 << 10
-	logEvery        = 10 * time.Second
+
+	// A client that cannot be served is owed an error or a close within 3 s.
+	headerWait  = 2 * time.Second
+	requestWait = 2500 * time.Millisecond // with its body
+	idleWait    = 30 * time.Second        // between requests, while there is room for others
+	headerLimit = 16 << 10
+
+	logEvery = 10 * time.Second
 )
 
 // front is what stands between clients and the core.
@@ -89,7 +93,7 @@
 func newServer(h http.Handler, log *slog.Logger) *http.Server {
 	return &http.Server{
 		Handler: h, MaxHeaderBytes: headerLimit,
-		ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
+		ReadHeaderTimeout: headerWait, ReadTimeout: requestWait, IdleTimeout: idleWait,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 }
@@ -194,8 +198,10 @@
 	}
 	f := g.front(c, intake.NewBudget(int64(bodyPart*float64(g.limits.MemoryMB)*(1<<20))))
 	srv := newServer(f, g.log)
+	clients := intake.NewListener(l, share)
+	srv.ConnState = clients.State
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(netutil.LimitListener(l, share)) }()
+	go func() { failed <- srv.Serve(clients) }()
 	g.log.Info("serving", "listen", l.Addr().String())
 	select {
 	case err := <-failed:
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,5 +1,5 @@
-// Package intake reads clients' bodies within bounds: of one body, and of all that
-// are in hand at once, so that many large ones cannot use up the memory.
+// Package intake keeps what clients send within bounds: the connections they hold,
+// where their requests begin and end, one body, and all bodies in hand at once.
 package intake
 
 import (
@@ -29,20 +29,45 @@
 	return b
 }
 
+// firstRead is what a body is given room for before any of it has come.
+const firstRead = 8 << 10
+
 // Read reads a request's body. On success the caller must call free once it is
-// done with the request; ErrBusy proves that nothing was done.
+// done with the request; ErrBusy proves that nothing was done. Only what has come
+// counts against the budget, not what a client says will come: one that declares
+// much and sends nothing must not keep others out.
 func (b *Budget) Read(w http.ResponseWriter, r *http.Request) (body []byte, free func(), err error) {
-	size := int64(MaxBody)
-	if r.ContentLength >= 0 {
-		size = min(size, r.ContentLength)
+	if r.ContentLength > MaxBody {
+		// To read past a limit has net/http wait a moment before it closes, so that a
+		// client which still sends gets to read its error.
+		_, _ = http.MaxBytesReader(w, r.Body, 0).Read(make([]byte, 1))
+		return nil, nil, ErrTooBig
 	}
-	free = func() { b.left.Add(size) }
-	if b.left.Add(-size) < 0 {
-		free()
-		return nil, nil, ErrBusy
+	taken := int64(0)
+	free = func() { b.left.Add(taken) }
+	from := http.MaxBytesReader(w, r.Body, MaxBody)
+	for err == nil {
+		if r.ContentLength >= 0 && int64(len(body)) == r.ContentLength { // only its end is left
+			_, err = io.ReadFull(from, make([]byte, 1))
+			break
+		}
+		if len(body) == cap(body) {
+			size := max(firstRead, 2*cap(body))
+			if r.ContentLength >= 0 {
+				size = min(size, int(r.ContentLength))
+			}
+			more := int64(size - cap(body))
+			if taken += more; b.left.Add(-more) < 0 {
+				free()
+				return nil, nil, ErrBusy
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		var n int
+		n, err = from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
 	}
-	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
-	if err == nil {
+	if errors.Is(err, io.EOF) {
 		return body, free, nil
 	}
 	free()
@@ -51,3 +76,12 @@
 	}
 	return nil, nil, ErrCut
 }
+
+// Reject makes ready for an error to a request whose body has not been read: the
+// connection ends with it. Else net/http would hold the answer back until it has
+// read the rest, which a client need not send.
+func Reject(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -114,6 +114,7 @@
 	}
 	team := f.team(r)
 	if team == nil {
+		intake.Reject(w, r)
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		apiError{status: http.StatusUnauthorized, kind: "invalid_request_error", code: "invalid_api_key", text: "missing or unknown API key"}.send(w)
 		return
@@ -125,8 +126,10 @@
 	case (r.URL.Path == "/v1/models" || one) && r.Method == http.MethodGet:
 		f.list(w, team, model, one)
 	case r.URL.Path == chatPath || r.URL.Path == "/v1/models" || one:
+		intake.Reject(w, r)
 		apiError{status: http.StatusMethodNotAllowed, kind: "invalid_request_error", text: "method not allowed"}.send(w)
 	default:
+		intake.Reject(w, r)
 		apiError{status: http.StatusNotFound, kind: "invalid_request_error", code: "unknown_url", text: "no such path"}.send(w)
 	}
 }
@@ -176,12 +179,14 @@
 	raw, free, err := f.bodies.Read(w, r)
 	switch {
 	case errors.Is(err, intake.ErrTooBig):
+		intake.Reject(w, r)
 		apiError{status: http.StatusRequestEntityTooLarge, kind: "invalid_request_error", text: err.Error()}.send(w)
 		return
 	case errors.Is(err, intake.ErrBusy):
 		refusal(core.Answer{Verdict: core.Refused, RetryAfter: busyPause}).send(w)
 		return
 	case err != nil:
+		intake.Reject(w, r)
 		badRequest(err.Error(), "").send(w)
 		return
 	}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -59,6 +59,7 @@
 	case "/v1/chat/completions":
 		f.chat(w, r)
 	default:
+		intake.Reject(w, r)
 		http.NotFound(w, r)
 	}
 }
@@ -73,12 +74,14 @@
 func (f *Front) chat(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	if r.Method != http.MethodPost {
+		intake.Reject(w, r)
 		w.Header().Set("Allow", http.MethodPost)
 		http.Error(w, "POST only", http.StatusMethodNotAllowed)
 		return
 	}
 	q, err := f.parse(r)
 	if err != nil {
+		intake.Reject(w, r)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -87,12 +90,14 @@
 	body, free, err := f.bodies.Read(w, r)
 	switch {
 	case errors.Is(err, intake.ErrTooBig):
+		intake.Reject(w, r)
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	case errors.Is(err, intake.ErrBusy):
 		refuse(w, core.Answer{Verdict: core.Refused, RetryAfter: busyPause})
 		return
 	case err != nil:
+		intake.Reject(w, r)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -151,6 +151,8 @@
 	})
 	server := httptest.NewUnstartedServer(NewFront(c, set.Classes, intake.NewBudget(1<<20)))
 	server.Config.ErrorLog = slog.NewLogLogger(log.Handler(), 0)
+	clients := intake.NewListener(server.Listener, 64)
+	server.Listener, server.Config.ConnState = clients, clients.State
 	server.Start()
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String(), r, w, c
