Reload on SIGHUP: read the file anew and move the watch

At fault: cmd/wellgw/serve.go, run: no handler for SIGHUP, so the default action ends the program. internal/platform/watch.go knew one address for good, and config put EDGE_DISCOVERY, as old as the process, before the file.

Now: SIGHUP reads the file anew, until the very end of the process. On the platform the file's discovery comes before the variable and the watch moves there at once, from the revision it has; the roster and its drains stay. On the chat API new keys, models, engines and Consul addresses hold from the next request on; what the module was given at its start needs a restart and is turned down by name. A file that can't be used changes nothing and the log says why. A silent watch is given up after 4.5 s, two lines, rather than 7 s.

--- a/cmd/wellgw/main.go
+++ b/cmd/wellgw/main.go
@@ -43,7 +43,7 @@
 		if err != nil {
 			return err
 		}
-		return chatGateway(o, log).run(ctx)
+		return chatGateway(path, o, log).run(ctx)
 	}
 	p, err := config.ReadPlatform(os.Getenv)
 	if err != nil {
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -69,6 +70,7 @@
 	front   func(*core.Core, *intake.Budget) front
 	// directory returns what the module may ask for changes, and its work.
 	directory func(tell func(ringdale.RosterScope, []core.Member)) (core.Directory, func(context.Context))
+	reload    func() error  // reads the configuration anew; set by directory
 	longest   time.Duration // wait of any client for its first token, by the settings
 	resume    bool          // clients ask for the rest of a stream that is cut off
 	log       *slog.Logger
@@ -116,21 +118,33 @@
 	g.front = func(c *core.Core, b *intake.Budget) front { return platform.NewFront(c, g.set.Classes, b) }
 	g.directory = func(tell func(ringdale.RosterScope, []core.Member)) (core.Directory, func(context.Context)) {
 		w := platform.NewWatch(p.Discovery, g.set.MustSubscribe, tell, g.log)
+		g.reload = func() error {
+			next, err := config.ReadPlatformAnew(os.Getenv)
+			if err != nil {
+				return err
+			}
+			w.Move(next.Discovery)
+			return nil
+		}
 		return w, func(ctx context.Context) { w.Run(ctx, p.Known) }
 	}
 	return g, nil
 }
 
-func chatGateway(o *config.Operator, log *slog.Logger) *gateway {
-	g := &gateway{
-		listen: o.Listen, limits: o.Limits, set: o.Settings(), seed: uint64(time.Now().UnixNano()), log: log,
-		front: func(c *core.Core, b *intake.Budget) front { return openai.NewFront(c, o, b) },
+func chatGateway(path string, o *config.Operator, log *slog.Logger) *gateway {
+	var now atomic.Pointer[config.Operator] // the file as last read
+	now.Store(o)
+	var f *openai.Front
+	g := &gateway{listen: o.Listen, limits: o.Limits, set: o.Settings(), seed: uint64(time.Now().UnixNano()), log: log}
+	g.front = func(c *core.Core, b *intake.Budget) front {
+		f = openai.NewFront(c, o, b)
+		return f
 	}
 	g.pool.StreamSilence = chatSilence
 	g.pool.ConnectTimeout, g.pool.ConnIdle, g.figures.Slack = o.Network()
 	g.dialect = func(kind string) upstream.Dialect {
 		if kind == config.RoleOpenAI {
-			return openai.Dialect{Key: o.EngineKey}
+			return openai.Dialect{Key: now.Load().EngineKey}
 		}
 		return platform.Dialect{}
 	}
@@ -138,11 +152,28 @@
 		g.longest = max(g.longest, c.Deadline())
 	}
 	g.directory = func(tell func(ringdale.RosterScope, []core.Member)) (core.Directory, func(context.Context)) {
+		list := func(o *config.Operator) { tell(ringdale.RosterFull, staticMembers(o)) }
+		var d core.Directory = noChanges{}
+		work := func(context.Context) { list(o) }
 		if o.Consul != nil {
-			d := consul.New(*o.Consul, o.Zone, tell, log)
-			return d, d.Run
+			c := consul.New(*o.Consul, o.Zone, tell, log)
+			d, work = c, c.Run
+			list = func(o *config.Operator) { c.Move(*o.Consul) }
+		}
+		g.reload = func() error {
+			next, err := config.ReadOperator(path)
+			if err == nil {
+				err = o.Takes(next)
+			}
+			if err != nil {
+				return err
+			}
+			now.Store(next)
+			f.Reload(next)
+			list(next)
+			return nil
 		}
-		return noChanges{}, func(context.Context) { tell(ringdale.RosterFull, staticMembers(o)) }
+		return d, work
 	}
 	return g
 }
@@ -173,6 +204,8 @@
 	defer stop()
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	hup := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
+	signal.Notify(hup, syscall.SIGHUP)
 	fitLimits(g.limits)
 	router, err := ringdale.New(g.set, g.seed)
 	if err != nil {
@@ -200,6 +233,7 @@
 	srv := newServer(f, g.log)
 	clients := intake.NewListener(l, share)
 	srv.ConnState = clients.State
+	go g.reloads(ctx, hup) // to the very end: SIGHUP may come while the gateway leaves
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(clients) }()
 	g.log.Info("serving", "listen", l.Addr().String())
@@ -215,6 +249,23 @@
 	return nil
 }
 
+// reloads reads the configuration anew on every signal. One that can't be used
+// changes nothing: a gateway in service must not end for a mistake in a file.
+func (g *gateway) reloads(ctx context.Context, hup <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		if err := g.reload(); err != nil {
+			g.log.Error("not reloaded, the old configuration stays", "cause", err)
+			continue
+		}
+		g.log.Info("reloaded")
+	}
+}
+
 // leave takes new requests for a moment more, since clients have yet to notice,
 // then finishes what is in hand. Where clients ask for the rest of a stream, what
 // still runs just before the kill is ended: a waiting request gets its answer, a
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"slices"
 	"time"
 
@@ -198,6 +199,21 @@
 	return nil
 }
 
+// Takes tells whether a program that runs by o can go on by next. What the module
+// was given at its start stands until the program is started again: contracts,
+// teams and their budgets, zones; and so do the address and the limits.
+func (o *Operator) Takes(next *Operator) error {
+	switch {
+	case o.Listen != next.Listen || o.Limits != next.Limits:
+		return errors.New("listen, limits: need a restart")
+	case !reflect.DeepEqual(o.Settings(), next.Settings()) || !slices.Equal(o.Contracts, next.Contracts):
+		return errors.New("contracts, teams, budgets, zones, gateways: need a restart")
+	case (o.Consul == nil) != (next.Consul == nil):
+		return errors.New("consul: to begin or end its use needs a restart")
+	}
+	return nil
+}
+
 // Settings are what the decision module is given for the chat front. Work beyond
 // a team's budget is worth nothing, so the module refuses it.
 func (o *Operator) Settings() ringdale.Settings {
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -76,6 +76,16 @@
 // ReadPlatform reads the object that EDGE_CONFIG names; the other variables of
 // the platform come before what the object says. An error names the field.
 func ReadPlatform(env func(string) string) (*Platform, error) {
+	return readPlatform(env, true)
+}
+
+// ReadPlatformAnew is ReadPlatform for a program that runs. What the object says
+// comes before the variables, which are as old as the process.
+func ReadPlatformAnew(env func(string) string) (*Platform, error) {
+	return readPlatform(env, false)
+}
+
+func readPlatform(env func(string) string, envFirst bool) (*Platform, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
 		return nil, errors.New("EDGE_CONFIG: not set")
@@ -84,17 +94,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	return ParsePlatform(raw, env)
+	return parsePlatform(raw, env, envFirst)
 }
 
 // ParsePlatform is ReadPlatform on the object's text.
 func ParsePlatform(raw []byte, env func(string) string) (*Platform, error) {
+	return parsePlatform(raw, env, true)
+}
+
+func parsePlatform(raw []byte, env func(string) string, envFirst bool) (*Platform, error) {
 	p := &Platform{}
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, p); err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %s", oneLine(err))
 	}
 	for name, field := range map[string]*string{"EDGE_NAME": &p.Name, "EDGE_LISTEN": &p.Listen, "EDGE_DISCOVERY": &p.Discovery} {
-		if v := env(name); v != "" {
+		if v := env(name); v != "" && (envFirst || *field == "") {
 			*field = v
 		}
 	}
--- a/internal/consul/consul.go
+++ b/internal/consul/consul.go
@@ -54,13 +54,14 @@
 
 // Directory follows Consul. It is a core.Directory.
 type Directory struct {
-	cfg    config.Consul
 	zone   string
 	tell   func(ringdale.RosterScope, []core.Member)
 	log    *slog.Logger
 	client *http.Client
 
 	mu    sync.Mutex
+	cfg   config.Consul
+	leave context.CancelFunc       // ends the queries under way
 	lists map[string][]core.Member // by service
 	seen  map[string]core.Member   // every engine that has been listed
 }
@@ -78,56 +79,93 @@
 // Subscribe does nothing: changes come by themselves.
 func (d *Directory) Subscribe() {}
 
+// Move has the directory go on by another configuration. Engines stay as they were
+// known until the new one has said what holds.
+func (d *Directory) Move(cfg config.Consul) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cfg = cfg; d.leave != nil {
+		d.leave()
+	}
+}
+
 // Run follows Consul until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
-	if d.cfg.Service != "" {
-		d.watchService(ctx, d.cfg.Service)
+	for ctx.Err() == nil {
+		sub, leave := context.WithCancel(ctx)
+		d.mu.Lock()
+		cfg := d.cfg
+		d.leave = leave
+		d.mu.Unlock()
+		d.watch(sub, cfg)
+		leave()
+	}
+}
+
+// watch follows one configuration until ctx ends.
+func (d *Directory) watch(ctx context.Context, cfg config.Consul) {
+	if cfg.Service != "" {
+		d.watchService(ctx, cfg, cfg.Service, func() { d.keep(func(name string) bool { return name == cfg.Service }) })
 		return
 	}
 	watched := map[string]context.CancelFunc{}
 	var group sync.WaitGroup
 	defer group.Wait()
-	d.follow(ctx, "/v1/catalog/services", func(body []byte) error {
+	d.follow(ctx, cfg, "/v1/catalog/services", func(body []byte) error {
 		var services map[string][]string
 		if err := jsoniter.Unmarshal(body, &services); err != nil {
 			return fmt.Errorf("catalogue: %w", err)
 		}
+		tagged := func(name string) bool { return slices.Contains(services[name], cfg.Tag) }
 		for name, stop := range watched {
-			if !slices.Contains(services[name], d.cfg.Tag) {
+			if !tagged(name) {
 				stop()
 				delete(watched, name)
-				d.put(name, nil)
 			}
 		}
-		for name, tags := range services {
-			if watched[name] == nil && slices.Contains(tags, d.cfg.Tag) {
+		d.keep(tagged)
+		for name := range services {
+			if watched[name] == nil && tagged(name) {
 				sub, stop := context.WithCancel(ctx)
 				watched[name] = stop
-				group.Go(func() { d.watchService(sub, name) })
+				group.Go(func() { d.watchService(sub, cfg, name, func() {}) })
 			}
 		}
 		return nil
 	})
 }
 
-func (d *Directory) watchService(ctx context.Context, name string) {
-	d.follow(ctx, "/v1/health/service/"+url.PathEscape(name), func(body []byte) error {
+// keep drops the services that are not to be kept.
+func (d *Directory) keep(wanted func(name string) bool) {
+	d.mu.Lock()
+	names := slices.Collect(maps.Keys(d.lists))
+	d.mu.Unlock()
+	for _, name := range names {
+		if !wanted(name) {
+			d.put(name, nil)
+		}
+	}
+}
+
+func (d *Directory) watchService(ctx context.Context, cfg config.Consul, name string, then func()) {
+	d.follow(ctx, cfg, "/v1/health/service/"+url.PathEscape(name), func(body []byte) error {
 		var entries []serviceEntry
 		if err := jsoniter.Unmarshal(body, &entries); err != nil {
 			return fmt.Errorf("health of %s: %w", name, err)
 		}
 		if ctx.Err() == nil { // a service that has lost its tag must not come back
 			d.put(name, entries)
+			then()
 		}
 		return nil
 	})
 }
 
 // follow repeats a blocking query and gives each new body to take.
-func (d *Directory) follow(ctx context.Context, path string, take func([]byte) error) {
+func (d *Directory) follow(ctx context.Context, cfg config.Consul, path string, take func([]byte) error) {
 	index, pause := uint64(0), pauseMin
 	for ctx.Err() == nil {
-		body, next, err := d.query(ctx, path, index)
+		body, next, err := d.query(ctx, cfg, path, index)
 		if err == nil && (index == 0 || next != index) {
 			err = take(body)
 		}
@@ -158,8 +196,8 @@
 	}
 }
 
-func (d *Directory) query(ctx context.Context, path string, index uint64) ([]byte, uint64, error) {
-	target := "http://" + d.cfg.Address + path
+func (d *Directory) query(ctx context.Context, cfg config.Consul, path string, index uint64) ([]byte, uint64, error) {
+	target := "http://" + cfg.Address + path
 	if index > 0 {
 		target += "?index=" + strconv.FormatUint(index, 10) + "&wait=" + waitSpan.String()
 	}
@@ -167,8 +205,8 @@
 	if err != nil {
 		return nil, 0, fmt.Errorf("query: %w", err)
 	}
-	if d.cfg.Token != "" {
-		req.Header.Set("X-Consul-Token", d.cfg.Token)
+	if cfg.Token != "" {
+		req.Header.Set("X-Consul-Token", cfg.Token)
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -34,6 +34,12 @@
 // standIn answers the queries for each path in turn; past the last it blocks, as
 // Consul does while nothing changes.
 func standIn(t *testing.T, paths map[string][]answer, cfg config.Consul) (asked, told func() []string) {
+	asked, told, _ = standInThatMoves(t, paths, cfg)
+	return asked, told
+}
+
+// standInThatMoves also returns how to move the directory.
+func standInThatMoves(t *testing.T, paths map[string][]answer, cfg config.Consul) (asked, told func() []string, move func(func(*config.Consul))) {
 	var mu sync.Mutex
 	var queries, rosters []string
 	count := map[string]int{}
@@ -70,7 +76,10 @@
 	copied := func(s *[]string) func() []string {
 		return func() []string { mu.Lock(); defer mu.Unlock(); return append([]string(nil), *s...) }
 	}
-	return copied(&queries), copied(&rosters)
+	return copied(&queries), copied(&rosters), func(change func(*config.Consul)) {
+		change(&cfg)
+		d.Move(cfg)
+	}
 }
 
 func wait(t *testing.T, what string, n int, list func() []string) []string {
@@ -121,6 +130,21 @@
 	}
 }
 
+// A directory that moves asks the new place, and drops what only the old one knew
+// once the new one has spoken.
+func TestMoveToAnotherService(t *testing.T) {
+	one := func(id string) []answer { return []answer{{200, "4", list(entry(id, ``, `{"Status":"passing"}`))}} }
+	asked, told, move := standInThatMoves(t, map[string][]answer{
+		"/v1/health/service/x": one("x1"), "/v1/health/service/y": one("y1"),
+	}, config.Consul{Service: "x"})
+	wait(t, "a roster", 1, told)
+	move(func(cfg *config.Consul) { cfg.Service = "y" })
+	at := "/openai/here/0/0/127.0.0.9:80"
+	if diff := cmp.Diff([]string{"1 x1" + at, "1 x1" + at + " y1" + at, "1 y1" + at}, wait(t, "three rosters", 3, told)); diff != "" {
+		t.Errorf("told (-want +got):\n%s\nasked %v", diff, asked())
+	}
+}
+
 func TestPhase(t *testing.T) {
 	for _, c := range []struct {
 		checks []check
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -30,33 +30,46 @@
 
 // Front answers callers of the chat API.
 type Front struct {
-	core      *core.Core
-	bodies    *intake.Budget
+	core    *core.Core
+	bodies  *intake.Budget
+	book    atomic.Pointer[book]
+	started time.Time
+	closing atomic.Bool
+}
+
+// book is what an operator's file says of callers and models.
+type book struct {
 	teams     map[[sha256.Size]byte]*config.Team // by the hash of a key, so that look-up time tells nothing of keys
 	contracts map[string]config.Contract         // by model
 	models    []string
-	started   time.Time
-	closing   atomic.Bool
 }
 
 // NewFront returns a front to a core whose classes are the operator's contracts
 // and whose tenants are the teams.
 func NewFront(c *core.Core, o *config.Operator, bodies *intake.Budget) *Front {
-	f := &Front{core: c, bodies: bodies, teams: map[[sha256.Size]byte]*config.Team{}, contracts: map[string]config.Contract{}, started: time.Now()}
+	f := &Front{core: c, bodies: bodies, started: time.Now()}
+	f.Reload(o)
+	return f
+}
+
+// Reload goes by another file from the next request on. Its contracts and teams
+// must be those the module knows; see config.Operator.Takes.
+func (f *Front) Reload(o *config.Operator) {
+	b := &book{teams: map[[sha256.Size]byte]*config.Team{}, contracts: map[string]config.Contract{}}
 	for i := range o.Teams {
 		for _, k := range o.Teams[i].Keys {
-			f.teams[sha256.Sum256([]byte(k))] = &o.Teams[i]
+			b.teams[sha256.Sum256([]byte(k))] = &o.Teams[i]
 		}
 	}
 	for _, m := range o.Models {
-		f.models = append(f.models, m.Name)
+		b.models = append(b.models, m.Name)
 		for _, c := range o.Contracts {
 			if c.Name == m.Contract {
-				f.contracts[m.Name] = c
+				b.contracts[m.Name] = c
 			}
 		}
 	}
-	return f
+	f.book.Store(b)
 }
 
 // Close has every answer from now on end its connection.
@@ -146,7 +159,7 @@
 	if !strings.EqualFold(scheme, "Bearer") {
 		return nil
 	}
-	return f.teams[sha256.Sum256([]byte(strings.TrimSpace(key)))]
+	return f.book.Load().teams[sha256.Sum256([]byte(strings.TrimSpace(key)))]
 }
 
 func noModel(name string) apiError {
@@ -156,7 +169,7 @@
 
 func (f *Front) list(w http.ResponseWriter, team *config.Team, name string, one bool) {
 	all := []any{}
-	for _, m := range f.models {
+	for _, m := range f.book.Load().models {
 		if !slices.Contains(team.Models, m) || one && m != name {
 			continue
 		}
@@ -198,7 +211,7 @@
 		badRequest(err.Error(), p.param).send(w)
 		return
 	}
-	contract, known := f.contracts[chat.Model]
+	contract, known := f.book.Load().contracts[chat.Model]
 	if !known || !slices.Contains(team.Models, chat.Model) {
 		noModel(chat.Model).send(w)
 		return
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -19,7 +20,7 @@
 
 // The watch's margins. A line comes every 2 s at least.
 const (
-	watchSilence = 7 * time.Second
+	watchSilence = 4500 * time.Millisecond
 	watchPause   = 100 * time.Millisecond
 	watchMost    = time.Second
 	maxList      = 4 << 20
@@ -100,18 +101,22 @@
 
 // Watch follows discovery and tells the core what it learns.
 type Watch struct {
-	addr   string
 	tell   func(ringdale.RosterScope, []core.Member)
 	log    *slog.Logger
 	roster *Roster
 	wake   chan struct{} // a Subscribe; nil where changes come by themselves
+	moved  chan struct{} // the address has changed
 	client *http.Client
+
+	mu    sync.Mutex
+	addr  string
+	leave context.CancelFunc // ends the watch under way
 }
 
 // NewWatch returns a watch on discovery's address. If asked is true it begins
 // only with the first Subscribe.
 func NewWatch(addr string, asked bool, tell func(ringdale.RosterScope, []core.Member), log *slog.Logger) *Watch {
-	w := &Watch{addr: addr, tell: tell, log: log, roster: NewRoster()}
+	w := &Watch{addr: addr, tell: tell, log: log, roster: NewRoster(), moved: make(chan struct{}, 1)}
 	if asked {
 		w.wake = make(chan struct{}, 1)
 	}
@@ -127,6 +132,24 @@
 	}
 }
 
+// Move has the watch go on at another address. What is known stays, drains above
+// all: the new address is asked for what came after it.
+func (w *Watch) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
+		return
+	}
+	w.addr = addr
+	if w.leave != nil {
+		w.leave()
+	}
+	select {
+	case w.moved <- struct{}{}:
+	default:
+	}
+}
+
 // Run starts from the list as last held and follows the watch until ctx ends.
 func (w *Watch) Run(ctx context.Context, known config.List) {
 	w.tell(ringdale.RosterCached, w.roster.Apply(known))
@@ -151,6 +174,8 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-w.moved:
+			pause = watchPause
 		case <-time.After(pause):
 		}
 	}
@@ -162,7 +187,11 @@
 	defer cancel()
 	silence := time.AfterFunc(watchSilence, cancel)
 	defer silence.Stop()
-	url := fmt.Sprintf("http://%s/v1/servers?watch=1&after=%d", w.addr, w.roster.Revision())
+	w.mu.Lock()
+	addr := w.addr
+	w.leave = cancel
+	w.mu.Unlock()
+	url := fmt.Sprintf("http://%s/v1/servers?watch=1&after=%d", addr, w.roster.Revision())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return 0, fmt.Errorf("watch: %w", err)
