On SIGTERM serve on for a while, then move every stream and refuse what can't have run

Checked: a trace of the tries that ask for the rest (X-Retry: again). Of n0's 24 streams cut at 19.4 s all came again at n1, which was back at 17.4 s, and were served. Of n1's 34 cut at 16.4 s two did: n0 had had its SIGTERM at 15.9 s and the front sends a leaving gateway nothing new.

At fault: cmd/wellgw/serve.go, leave: listener and idle connections closed at 0.5 s, streams cut at the last moment, just as the next gateway leaves; and core.Abandon, which answered 504 to what could still be refused.

Now, where clients ask for the rest: listener and connections stay as they are to 2.6 s after SIGTERM, then all streams are cut and moved, and the module gives up what waits (new event Closing): refused with Retry-After where nothing can have run, else failed. An idle gateway leaves after a second. Elsewhere as before.

Tests that fail without it: TestLeavingEndsWhatOutlastsIt (connection refused a second after SIGTERM), TestAbandonRefusesWhatHasNotRun (504 for a read).

--- a/cmd/wellgw/main_test.go
+++ b/cmd/wellgw/main_test.go
@@ -276,9 +276,18 @@
 		t.Fatal(err)
 	}
 	defer resp.Body.Close()
+	term := time.Now()
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	// The others may be away too: it still takes what comes.
+	time.Sleep(time.Second)
+	late, err := http.Get(url + "/healthz")
+	if err == nil {
+		late.Body.Close()
+	} else if time.Since(term) < 2500*time.Millisecond {
+		t.Errorf("a second after SIGTERM: %v", err)
+	}
 	if b, err := io.ReadAll(resp.Body); err == nil || string(b) != "data: x\n\n" {
 		t.Errorf("%q, %v", b, err)
 	}
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -33,10 +33,12 @@
 	bodyPart     = 0.125                  // of it, for bodies in hand; they are held up to three times over
 	spareSockets = 32                     // descriptors for all but clients and engines
 	acceptAfter  = 500 * time.Millisecond // SIGTERM: for so long new clients keep coming
-	killAfter    = 700 * time.Millisecond // SIGKILL follows the longest wait, of longestWait at most,
-	longestWait  = 3 * time.Second        // by no less
-	beforeKill   = 400 * time.Millisecond // what is left is ended this much earlier
-	lastAnswers  = 100 * time.Millisecond // for the last answers to reach their clients
+	quietFor     = time.Second            // with no request for so long they have noticed
+	quietLook    = 50 * time.Millisecond
+	killAfter    = 700 * time.Millisecond  // SIGKILL follows the longest wait, of longestWait at most,
+	longestWait  = 3 * time.Second         // by no less
+	beforeKill   = 1100 * time.Millisecond // what is left is ended this much earlier; see leave
+	lastAnswers  = 100 * time.Millisecond  // for the last answers to reach their clients
 
 	// A client that is left waiting for 5 s after a stream's last event has lost it
 	// on the platform. Elsewhere a model may well think for longer.
@@ -243,8 +245,10 @@
 	case <-term:
 	}
 	g.log.Info("leaving")
-	f.Close()
-	g.leave(ctx, srv, c)
+	if !g.resume {
+		f.Close()
+	}
+	g.leave(ctx, srv, c, f)
 	checks.Log(g.log)
 	return nil
 }
@@ -266,23 +270,36 @@
 	}
 }
 
-// leave takes new requests for a moment more, since clients have yet to notice,
-// then finishes what is in hand. Where clients ask for the rest of a stream, what
-// still runs just before the kill is ended: a waiting request gets its answer, a
-// stream is cut off and its state let go. Elsewhere a stream must not be cut off
-// while its events come, so it runs as long as it may.
-func (g *gateway) leave(ctx context.Context, srv *http.Server, c *core.Core) {
+// leave goes on serving while clients have yet to notice, then finishes what is in
+// hand.
+//
+// Where clients ask for the rest of a stream, all is served as ever for a while: the
+// other gateways of a roll may be away, and clients that find no listener and have
+// lost their connection have nowhere to go. Then what waits is given up, and every
+// stream is cut off and its state let go. That is not at the last moment: clients
+// ask for the rest at once, and by then the next gateway of the roll may be leaving;
+// nor is it at the first, when the last one may not be back. Elsewhere a stream must
+// not be cut off while its events come, so nothing new is taken after a moment and
+// what runs does so for as long as it may.
+func (g *gateway) leave(ctx context.Context, srv *http.Server, c *core.Core, f front) {
 	kill := time.Now().Add(min(g.longest, longestWait) + killAfter - beforeKill)
 	time.Sleep(acceptAfter)
-	finish, done := context.WithCancel(ctx)
+	finish, done := ctx, context.CancelFunc(func() {})
 	if g.resume {
+		for time.Now().Before(kill) && c.Quiet(ctx) < quietFor {
+			time.Sleep(quietLook)
+		}
 		finish, done = context.WithDeadline(ctx, kill)
 	}
 	defer done()
+	f.Close()
+	if time.Now().After(kill) {
+		c.Abandon()
+		time.Sleep(lastAnswers)
+	}
 	if err := srv.Shutdown(finish); err != nil {
 		g.log.Warn("time is up", "cause", err, "counts", c.Counts(ctx))
 		c.Abandon()
-		time.Sleep(lastAnswers)
 		srv.Close()
 		release, done := context.WithTimeout(ctx, lastAnswers)
 		defer done()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +43,8 @@
 	releases int
 	drained  []chan struct{}
 	counts   map[string]int
+	closing  bool      // see Abandon
+	lastBusy time.Time // a request came, or was seen in hand
 }
 
 // request is one client's try, kept until it is answered and no attempt is out.
@@ -130,16 +130,31 @@
 	}
 }
 
-// Abandon gives every request that still waits its final answer, as the gateway
-// has no time left for it. Streams are the fronts' to end.
+// Abandon has the module give up every request that still waits, and all that come
+// from now on, as the gateway has no time left. Streams are the fronts' to end.
 func (c *Core) Abandon() {
 	c.post(func() {
-		for _, id := range slices.Sorted(maps.Keys(c.requests)) {
-			if q := c.requests[id]; q != nil {
-				c.overdue(q)
-			}
+		c.closing = true
+		c.tell(ringdale.Closing{})
+	})
+}
+
+// Quiet returns for how long no request has come and none has been in hand.
+func (c *Core) Quiet(ctx context.Context) time.Duration {
+	ch := make(chan time.Duration, 1)
+	c.post(func() {
+		if len(c.requests) > 0 {
+			c.lastBusy = time.Now()
 		}
+		ch <- time.Since(c.lastBusy)
 	})
+	select {
+	case d := <-ch:
+		return d
+	case <-c.done:
+	case <-ctx.Done():
+	}
+	return 0
 }
 
 // Counts returns how often each outcome and answer came, for the log.
@@ -256,6 +271,7 @@
 		return
 	}
 	c.requests[q.ID], c.wires[in.Wire] = q, true
+	c.lastBusy = time.Now()
 	c.counts["requests"]++
 	c.settling = append(c.settling, q)
 	// The backstop guards against a request that neither the module nor an engine
@@ -263,6 +279,9 @@
 	c.after(time.Until(q.deadline)+c.fig.Slack, func() { c.overdue(q) })
 	in.TTL = time.Until(q.deadline)
 	c.tell(in.Request)
+	if c.closing {
+		c.tell(ringdale.Closing{})
+	}
 }
 
 // send makes an attempt, or says at once that it was not made.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -170,6 +170,37 @@
 	}
 }
 
+// A gateway that ends refuses what can't have run, so that its client may try
+// elsewhere, and promises nothing of what may have.
+func TestAbandonRefusesWhatHasNotRun(t *testing.T) {
+	for kind, want := range map[string]Verdict{"r": Refused, "w": Failed} {
+		f := &fake{script: func(a Attempt) (Stream, *Result) {
+			if a.To.Kind == kind { // silent
+				return nil, nil
+			}
+			return ended(ringdale.StatusRead)
+		}}
+		core := newCore(t, f)
+		w := make(waiter, 1)
+		core.Submit(ask("once", time.Minute), w)
+		playback.Eventually(t, "the attempt is out", func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(f.attempts) == map[string]int{"r": 1, "w": 2}[kind]
+		})
+		core.Abandon()
+		if a := <-w; a.Verdict != want {
+			t.Errorf("at %s: %+v, want %v", kind, a, want)
+		}
+		if a, _, _ := Await(t.Context(), core, Request{Wire: "late", Arrived: time.Now(), Request: ask("once", time.Minute).Request}); a.Verdict != Refused {
+			t.Errorf("a late one: %+v", a)
+		}
+		if err := core.Drain(t.Context()); err != nil || !f.has("r1") {
+			t.Errorf("%v; released at %v", err, f.released)
+		}
+	}
+}
+
 func TestClientGoneBeforeTheAnswer(t *testing.T) {
 	f := &fake{script: script(func() (Stream, *Result) { return nil, nil })}
 	core := newCore(t, f)
--- a/ringdale/api.go
+++ b/ringdale/api.go
@@ -200,6 +200,9 @@
 // Gone reports that the client has left or its time is over.
 type Gone struct{ ID RequestID }
 
+// Closing reports that the gateway is about to end and answers nothing more.
+type Closing struct{}
+
 // TimerFired reports that a timer is due.
 type TimerFired struct{ Name string }
 
@@ -228,6 +231,7 @@
 func (Outcome) isEvent()     {}
 func (FirstToken) isEvent()  {}
 func (Gone) isEvent()        {}
+func (Closing) isEvent()     {}
 func (TimerFired) isEvent()  {}
 func (ProbeResult) isEvent() {}
 func (PlaceNote) isEvent()   {}
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -426,6 +426,19 @@
 	r.close(q)
 }
 
+// onClosing gives up all that has not begun to be answered. Most of it can be
+// refused, so that clients may try elsewhere at once; what may have run can't.
+func (r *Router) onClosing() {
+	for _, id := range slices.Sorted(maps.Keys(r.reqs)) {
+		if q := r.reqs[id]; !q.ended && q.phase != streaming {
+			if q.at != nil {
+				r.cancel(q)
+			}
+			r.giveUp(q, 0)
+		}
+	}
+}
+
 // refuse turns a request away that has had no effect or may be repeated.
 func (r *Router) refuse(q *request, wait time.Duration, overQuota bool) {
 	if wait = min(max(wait, leastAdvice), r.set.MaxRetryAfter); !r.set.CanRetryAfter {
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -157,6 +157,8 @@
 		if q := r.reqs[e.ID]; q != nil {
 			r.leave(q)
 		}
+	case Closing:
+		r.onClosing()
 	case ProbeResult:
 		r.noteReport(r.workers[e.Server], e.Report)
 	case TimerFired:
