End spoilt answers of engines at once and pass on nothing but event lines

Checked by playing each shape against the old code: noise, a head or chunk that stops, a chunk of 3 GB and a last chunk that never comes all wait for the limit of the attempt; noise framed as a chunk is passed on as the first event. Interim answers, unreadable load reports and a second answer did no harm already.

At fault: internal/upstream/engine.go readHead (no bound in time once a head has begun), attempt (any byte counted as the first event), Read (any byte passes); chunked.go next (a size of up to 2^63).

Until an event's data has come the attempt has failed, not the stream. A connection with more than the answer on it is not reused, even if it comes a moment later.

--- a/internal/upstream/chunked.go
+++ b/internal/upstream/chunked.go
@@ -18,6 +18,13 @@
 	err   error
 }
 
+// Bounds of a chunk. An engine that declares gigabytes is broken, and would have
+// its junk passed on for as long as it comes.
+const (
+	maxChunk    = 1 << 20
+	maxChunkHex = 8
+)
+
 var errChunk = errors.New("malformed chunk")
 
 func (c *chunked) Read(p []byte) (int, error) {
@@ -47,9 +54,12 @@
 		return err
 	}
 	size, _, _ := strings.Cut(line, ";")
-	if c.left, err = strconv.ParseInt(strings.TrimSpace(size), 16, 64); err != nil || c.left < 0 {
+	size = strings.TrimRight(size, " \t")
+	n, err := strconv.ParseUint(size, 16, 32)
+	if err != nil || len(size) > maxChunkHex || n > maxChunk {
 		return errChunk
 	}
+	c.left = int64(n)
 	if c.begun = true; c.left > 0 {
 		return nil
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -158,7 +158,8 @@
 
 // put gives back a connection whose answer has been read to its end.
 func (p *Pool) put(c *conn) {
-	if c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	// More than the answer, such as a second one, would be taken for the next one's.
+	if c.r.Buffered() > 0 || !quiet(c.Conn) || c.SetDeadline(time.Time{}) != nil {
 		p.drop(c)
 		return
 	}
--- /dev/null
+++ b/internal/upstream/sieve.go
@@ -0,0 +1,71 @@
+package upstream
+
+import (
+	"bytes"
+	"errors"
+	"slices"
+)
+
+// maxEventLine is the most that one line of a stream may hold.
+const maxEventLine = 256 << 10
+
+var errJunk = errors.New("what came is no line of an event stream")
+
+// sieve lets pass what an event stream may hold, line by line and unchanged, and
+// stops at anything else. It guards against an engine or a broken framing that
+// puts other bytes in the place of events.
+type sieve struct {
+	rest  []byte // of a line that has not ended
+	begun bool   // an event's data has passed
+}
+
+// take returns what may be passed on now that p has come. It is valid until the
+// next call.
+func (s *sieve) take(p []byte) ([]byte, error) {
+	if len(s.rest) > 0 {
+		s.rest = append(s.rest, p...)
+		p = s.rest
+	}
+	sound := 0
+	for line := range bytes.Lines(p) {
+		if !s.fits(line) {
+			return p[:sound], errJunk
+		}
+		if line[len(line)-1] != '\n' {
+			break
+		}
+		s.begun = s.begun || bytes.HasPrefix(line, []byte("data:"))
+		sound += len(line)
+	}
+	if sound == len(p) {
+		s.rest = s.rest[:0]
+		return p, nil
+	}
+	if len(p)-sound > maxEventLine {
+		return p[:sound], errJunk
+	}
+	s.rest = slices.Clone(p[sound:])
+	return p[:sound], nil
+}
+
+// left returns a last line that its end has not followed.
+func (s *sieve) left() []byte {
+	rest := s.rest
+	s.rest = nil
+	s.begun = s.begun || bytes.HasPrefix(rest, []byte("data:"))
+	return rest
+}
+
+// fits tells whether a line, or the beginning of one, may stand in a stream.
+func (s *sieve) fits(line []byte) bool {
+	if line[0] == ':' || line[0] == '\r' || line[0] == '\n' {
+		return true
+	}
+	for _, field := range []string{"data:", "event:", "id:", "retry:"} {
+		n := min(len(field), len(line))
+		if string(line[:n]) == field[:n] {
+			return true
+		}
+	}
+	return false
+}
