Forget engines that have left, in the roster, the core and the module

In the code every id that ever came stays: Roster.entries (internal/platform/watch.go), Core.members, Router.workers and order (ringdale/state.go), which every choice goes through, and Directory.seen (internal/consul).

Now: the core keeps no member that is off; requests keep the entry of an engine that may hold something, so late releases still reach it. The module forgets a server with nothing in hand there and no send inside the fall window. The roster remembers 256 that have left, and past these the newest revision among the forgotten, so that an older list can't bring one back (the drain rule). The Consul directory keeps who is listed; an engine that was not on a service's earlier list counts as started now.

--- a/internal/consul/consul.go
+++ b/internal/consul/consul.go
@@ -63,7 +63,7 @@
 	cfg   config.Consul
 	leave context.CancelFunc       // ends the queries under way
 	lists map[string][]core.Member // by service
-	seen  map[string]core.Member   // every engine that has been listed
+	seen  map[string]core.Member   // every engine that is listed
 }
 
 // New returns a directory that tells a core through tell. Engines that state no
@@ -232,8 +232,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	members := make([]core.Member, 0, len(entries))
+	_, again := d.lists[service]
 	for _, e := range entries {
-		members = append(members, d.member(e))
+		members = append(members, d.member(e, again))
 	}
 	if d.lists[service] = members; entries == nil {
 		delete(d.lists, service)
@@ -244,13 +245,7 @@
 			listed[m.Name] = m
 		}
 	}
-	for name, old := range d.seen {
-		if _, is := listed[name]; !is {
-			old.Phase = ringdale.PhaseOff
-			d.seen[name] = old
-		}
-	}
-	maps.Copy(d.seen, listed)
+	d.seen = listed // who is listed no more is forgotten: engines come under ever new ids
 	all := slices.SortedFunc(maps.Values(listed), func(a, b core.Member) int {
 		if a.Name < b.Name {
 			return -1
@@ -260,10 +255,10 @@
 	d.tell(ringdale.RosterFull, all)
 }
 
-// member reads an entry. Consul does not say when an engine started: one that
-// comes back after it was critical or absent counts as started now, so that it is
-// not pushed over while it is cold.
-func (d *Directory) member(e serviceEntry) core.Member {
+// member reads an entry. Consul does not say when an engine started: one that was
+// critical, or not on the service's list before, counts as started now, so that it
+// is not pushed over while it is cold. Of those on a first list nothing is known.
+func (d *Directory) member(e serviceEntry, again bool) core.Member {
 	m := core.Member{
 		ServerInfo: ringdale.ServerInfo{Name: e.Service.ID, Kind: config.RoleOpenAI, Zone: d.zone, Weight: 1, Phase: phase(e.Checks)},
 	}
@@ -281,11 +276,10 @@
 		host = e.Node.Address
 	}
 	m.Addr = net.JoinHostPort(host, strconv.Itoa(e.Service.Port))
-	if old, known := d.seen[m.Name]; known {
-		m.StartedAt = old.StartedAt
-		if old.Phase == ringdale.PhaseOff && m.Phase == ringdale.PhaseOn {
-			m.StartedAt = time.Now()
-		}
+	old, known := d.seen[m.Name]
+	m.StartedAt = old.StartedAt
+	if m.Phase == ringdale.PhaseOn && (known && old.Phase == ringdale.PhaseOff || !known && again) {
+		m.StartedAt = time.Now()
 	}
 	return m
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -183,19 +183,18 @@
 
 func (c *Core) roster(scope ringdale.RosterScope, members []Member) {
 	ev := ringdale.Roster{Scope: scope}
+	// Who has left is forgotten: engines come under ever new ids. What one still holds
+	// is let go by the entry that its request keeps.
 	if scope == ringdale.RosterFull || scope == ringdale.RosterCached {
-		// An engine that has left is still known by its address: what it holds can
-		// be let go there.
-		for name, m := range c.members {
-			m.Phase = ringdale.PhaseOff
-			c.members[name] = m
-		}
+		clear(c.members)
 	}
 	for _, m := range members {
 		if m.CameUp = 0; !m.StartedAt.IsZero() {
 			m.CameUp = m.StartedAt.Sub(c.origin)
 		}
-		c.members[m.Name] = m
+		if c.members[m.Name] = m; m.Phase == ringdale.PhaseOff {
+			delete(c.members, m.Name)
+		}
 		ev.Servers = append(ev.Servers, m.ServerInfo)
 	}
 	on := false
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -201,6 +202,35 @@
 	}
 }
 
+// Engines under ever new names leave nothing behind, but what one that has left still
+// holds is let go there all the same.
+func TestEnginesThatLeaveAreForgotten(t *testing.T) {
+	f := &fake{script: script(func() (Stream, *Result) { return nil, nil })}
+	core := newCore(t, f)
+	ticket := core.Submit(ask("free", time.Minute), make(waiter, 1))
+	playback.Eventually(t, "the writer is asked", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.attempts) == 2
+	})
+	for n := range 100 {
+		m := Member{ServerInfo: ringdale.ServerInfo{Name: fmt.Sprint("e", n), Kind: "r", Weight: 1}}
+		core.Roster(ringdale.RosterChanges, []Member{m})
+		m.Phase = ringdale.PhaseOff
+		core.Roster(ringdale.RosterChanges, []Member{m})
+	}
+	core.Roster(ringdale.RosterFull, nil)
+	left := make(chan int)
+	core.post(func() { left <- len(core.members) })
+	if n := <-left; n > 0 || core.Ready() {
+		t.Errorf("%d members, ready %v", n, core.Ready())
+	}
+	ticket.Gone()
+	if err := core.Drain(t.Context()); err != nil || !f.has("r1") || !f.has("w1") {
+		t.Errorf("%v; released at %v", err, f.released)
+	}
+}
+
 func TestClientGoneBeforeTheAnswer(t *testing.T) {
 	f := &fake{script: script(func() (Stream, *Result) { return nil, nil })}
 	core := newCore(t, f)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -74,6 +74,26 @@
 	}
 }
 
+// Engines under ever new ids leave no more behind than a bound, and an old list does
+// not bring back one that has been forgotten.
+func TestRosterForgetsWhoLeft(t *testing.T) {
+	r := NewRoster()
+	for n := range int64(5 * keepLeft) {
+		id := fmt.Sprint("e", n)
+		r.Apply(list(2*n+1, false, id+" active 0"))
+		r.Apply(list(2*n+2, false, id+" left 0"))
+	}
+	if len(r.entries) > keepLeft || len(r.left) > keepLeft {
+		t.Errorf("%d entries, %d left", len(r.entries), len(r.left))
+	}
+	if got := r.Apply(list(1, false, "e0 active 0")); len(got) > 0 {
+		t.Errorf("back: %+v", got)
+	}
+	if got := r.Apply(list(1<<40, false, "e0 active 0")); len(got) != 1 {
+		t.Errorf("news is not taken: %+v", got)
+	}
+}
+
 // A watch that breaks goes on from the revision it had, and forgets no drain.
 func TestWatchGoesOnWhereItBroke(t *testing.T) {
 	var mu sync.Mutex
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,13 +25,16 @@
 	watchPause   = 100 * time.Millisecond
 	watchMost    = time.Second
 	maxList      = 4 << 20
+	keepLeft     = 256 // engines that have left are remembered; more would grow with the days
 )
 
 // Roster holds what discovery has told. It guards the drain rule: an engine that
 // is leaving or gone stays so, whatever older news comes after.
 type Roster struct {
-	revision int64
-	entries  map[string]entry
+	revision  int64
+	entries   map[string]entry
+	left      []string // engines that have left, in the order in which they did
+	forgotten int64    // the newest revision of one that has been forgotten
 }
 
 type entry struct {
@@ -51,6 +55,9 @@
 func (r *Roster) Apply(l config.List) []core.Member {
 	var changed []core.Member
 	take := func(e config.ListEntry) {
+		if phaseOf(e.Phase) == ringdale.PhaseOff {
+			r.left = append(r.left, e.ID)
+		}
 		r.entries[e.ID] = entry{e, l.Revision}
 		changed = append(changed, member(e))
 	}
@@ -59,6 +66,9 @@
 		named[e.ID] = true
 		old, known := r.entries[e.ID]
 		worse := phaseOf(e.Phase) > phaseOf(old.Phase) && e.UpSince >= old.UpSince
+		if !known && l.Revision <= r.forgotten { // it may be one of those: they have left
+			continue
+		}
 		if !known || l.Revision > old.revision || worse || e.UpSince > old.UpSince {
 			take(e)
 		}
@@ -72,9 +82,22 @@
 		}
 	}
 	r.revision = max(r.revision, l.Revision)
+	r.forget()
 	return changed
 }
 
+// forget drops those that left longest ago. An older list that names one must not
+// bring it back: see forgotten.
+func (r *Roster) forget() {
+	for len(r.left) > keepLeft {
+		if e, known := r.entries[r.left[0]]; known && phaseOf(e.Phase) == ringdale.PhaseOff {
+			r.forgotten = max(r.forgotten, e.revision)
+			delete(r.entries, r.left[0])
+		}
+		r.left = slices.Delete(r.left, 0, 1)
+	}
+}
+
 // phaseOf reads a phase; one that is unknown is not sent to.
 func phaseOf(s string) ringdale.Phase {
 	switch s {
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -48,6 +48,34 @@
 	return Request{ID: id, Class: "c", Session: fmt.Sprint("s", id), Prompt: prompt, MaxTokens: 100, TTL: 5 * time.Second}
 }
 
+// Servers under ever new names leave nothing behind; one whose attempt is out is kept
+// until it has ended, and until what was sent to it no longer counts.
+func TestServersThatLeaveAreForgotten(t *testing.T) {
+	set := testSettings()
+	r := router(t, set, server("r1", "r", 0), server("w1", "w", 0))
+	r.Handle(time.Second, ask(1, 100))
+	for n := range 50 {
+		s := server(fmt.Sprint("x", n), "r", 0)
+		r.Handle(time.Second, Roster{Servers: []ServerInfo{s}})
+		s.Phase = PhaseOff
+		r.Handle(time.Second, Roster{Servers: []ServerInfo{s}})
+	}
+	full := Roster{Scope: RosterFull, Servers: []ServerInfo{server("w1", "w", 0)}}
+	later := time.Second + set.Fall + ms
+	for _, c := range []struct {
+		at   Time
+		ev   Event
+		kept int
+	}{
+		{time.Second, full, 2}, {later, full, 2},
+		{later, Outcome{ID: 1, Server: "r1", Status: StatusReset}, 2}, {later, full, 1},
+	} {
+		if r.Handle(c.at, c.ev); len(r.workers) != c.kept || len(r.order) != c.kept {
+			t.Errorf("after %+v at %v: %d and %d servers, want %d", c.ev, c.at, len(r.workers), len(r.order), c.kept)
+		}
+	}
+}
+
 // sent returns the only server that the actions send a request to.
 func sent(t *testing.T, actions []Action) string {
 	t.Helper()
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -297,9 +297,29 @@
 	r.cells = nil
 	if e.Scope == RosterFull || e.Scope == RosterCached {
 		for _, w := range r.order {
-			w.usable = w.usable && named[w.Name]
+			if !named[w.Name] {
+				w.usable, w.Phase = false, PhaseOff
+			}
+		}
+	}
+	r.order = slices.DeleteFunc(r.order, func(w *worker) bool {
+		if !r.over(w) {
+			return false
 		}
+		delete(r.workers, w.Name)
+		return true
+	})
+}
+
+// over tells whether a server has left and nothing of it is left to account for:
+// servers come under ever new names. One that has just been sent work is kept, as it
+// may come up again under its name, cold, and what was sent then counts.
+func (r *Router) over(w *worker) bool {
+	if w.Phase != PhaseOff || len(w.out) > 0 || w.reads+w.states+w.answers > 0 {
+		return false
 	}
+	n := len(w.sends)
+	return n == 0 || r.now-w.sends[n-1].at > r.set.Fall
 }
 
 // count keeps how often each shared beginning comes, and all under ""; old counts fade.
