Take a first list of revision 0

Nothing forgotten was written as revision 0, and the platform's first list is of revision 0, so every entry in it counted as forgotten. Nothing forgotten is -1 now. The new line of TestRosterKeepsDrains fails without it.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -40,6 +40,7 @@
 		lists []config.List
 		want  map[string]ringdale.Phase
 	}{
+		{"a first list of revision 0", []config.List{list(0, true, "a active 0")}, map[string]ringdale.Phase{"a": ringdale.PhaseOn}},
 		{"a change", []config.List{list(1, true, "a active 0", "b active 0"), list(2, false, "a leaving 0")},
 			map[string]ringdale.Phase{"a": ringdale.PhaseDraining, "b": ringdale.PhaseOn}},
 		{"an older change after it", []config.List{list(1, true, "a active 0"), list(5, false, "a leaving 0"), list(4, false, "a active 0")},
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -43,7 +43,9 @@
 }
 
 // NewRoster returns an empty roster.
-func NewRoster() *Roster { return &Roster{entries: map[string]entry{}} }
+func NewRoster() *Roster {
+	return &Roster{entries: map[string]entry{}, forgotten: -1} // the first list may be of revision 0
+}
 
 // Revision is the newest that has been taken in.
 func (r *Roster) Revision() int64 { return r.revision }
