--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"wellgw/internal/playback"
 )
 
 // However the bytes are cut up, requests end where they end, or are in error.
@@ -54,7 +56,7 @@
 
 // serve starts a server with room for limit connections. A request for /wait is
 // answered once the test says so.
-func serve(t *testing.T, limit int) (addr string, waiting, answer chan bool) {
+func serve(t *testing.T, limit int) (l *Listener, waiting, answer chan bool) {
 	waiting, answer = make(chan bool), make(chan bool)
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
@@ -63,11 +65,11 @@
 		}
 		io.WriteString(w, r.URL.Path)
 	}))
-	l := NewListener(s.Listener, limit)
+	l = NewListener(s.Listener, limit)
 	s.Listener, s.Config.ConnState = l, l.State
 	s.Start()
 	t.Cleanup(s.Close)
-	return s.Listener.Addr().String(), waiting, answer
+	return l, waiting, answer
 }
 
 func dial(t *testing.T, addr, text string) net.Conn {
@@ -94,7 +96,8 @@
 // Connections that ask nothing give way to one that does; those that have a
 // request in hand never do, and past them a newcomer is turned away, not held.
 func TestSilentConnectionsGiveWay(t *testing.T) {
-	addr, waiting, answer := serve(t, 2)
+	l, waiting, answer := serve(t, 2)
+	addr := l.Addr().String()
 	first := dial(t, addr, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
 	<-waiting
 	silent := dial(t, addr, "")
@@ -102,6 +105,16 @@
 	if a := got(silent); a != "none" {
 		t.Errorf("the silent one got %q", a)
 	}
+	playback.Eventually(t, "half a request is read", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for c := range l.open {
+			if w, waits := c.waits(time.Now()); waits && !w.between {
+				return true
+			}
+		}
+		return false
+	})
 	second := dial(t, addr, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
 	if a := got(half); a != "none" {
 		t.Errorf("half a request got %q", a)
@@ -114,9 +127,9 @@
 	if a, b := got(first), got(second); a != "/wait" || b != "/wait" {
 		t.Errorf("those in hand got %q and %q", a, b)
 	}
-	if a := got(dial(t, addr, "GET /d HTTP/1.1\r\nHost: x\r\n\r\n")); a != "/d" {
-		t.Errorf("after an answer, a newcomer got %q", a)
-	}
+	playback.Eventually(t, "after an answer a newcomer has its own", func() bool {
+		return got(dial(t, addr, "GET /d HTTP/1.1\r\nHost: x\r\n\r\n")) == "/d"
+	})
 }
 
 // A connection whose request has come, though nobody has read it yet, is passed over,
@@ -137,9 +150,7 @@
 		return c.(*Conn)
 	}
 	asks := accept("GET / HTTP/1.1\r\n\r\n") // the oldest
-	for end := time.Now().Add(20 * time.Second); !unread(asks.Conn) && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
+	playback.Eventually(t, "its request is there", func() bool { return unread(asks.Conn) })
 	silent, late := accept(""), accept("")
 	next := accept("")
 	for c, kept := range map[*Conn]bool{asks: true, silent: false, late: true, next: true} {
