Leave time for the last releases before the program ends

Seen: every leaving gateway logs "requests left behind" with no request open. At fault: cmd/wellgw/serve.go, leave: 100 ms for the last releases, while the second call, for an engine that sees the closed connection late, comes after 150 ms. States may have stayed held after the exit. There is room now: streams end 1.1 s before the kill. 500 ms are given. TestLeavingEndsWhatOutlastsIt sees one call for two without.

--- a/cmd/wellgw/main_test.go
+++ b/cmd/wellgw/main_test.go
@@ -294,8 +294,9 @@
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("exit: %v", err)
 	}
-	if len(reader.Calls("DELETE"))+len(writer.Calls("DELETE")) == 0 {
-		t.Error("nothing was let go")
+	// The second call is for an engine that sees the end of the connection late.
+	if n := len(writer.Calls("DELETE")); n < 2 {
+		t.Errorf("%d calls to let go at the writer, want 2", n)
 	}
 }
 
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -38,6 +38,7 @@
 	killAfter    = 700 * time.Millisecond  // SIGKILL follows the longest wait, of longestWait at most,
 	longestWait  = 3 * time.Second         // by no less
 	beforeKill   = 1100 * time.Millisecond // what is left is ended this much earlier; see leave
+	lastReleases = 500 * time.Millisecond  // for the last states to be let go, the second call included
 	lastAnswers  = 100 * time.Millisecond  // for the last answers to reach their clients
 
 	// A client that is left waiting for 5 s after a stream's last event has lost it
@@ -301,7 +302,7 @@
 		g.log.Warn("time is up", "cause", err, "counts", c.Counts(ctx))
 		c.Abandon()
 		srv.Close()
-		release, done := context.WithTimeout(ctx, lastAnswers)
+		release, done := context.WithTimeout(ctx, lastReleases)
 		defer done()
 		finish = release
 	}
