Answer operators' calls: engines out by hand, drain by call, retune, inherited socket

- decide/handban (pure): names ever listed, bans, and what the module is shown: a banned engine drains whatever the list says; one called back is cold from then.
The core applies it to every roster entry; bans go to a file in TMPDIR that both processes of an upgrade read every 100 ms (internal/handfile).
- standby/active: /healthz 503, keep-alives off (idle connections closed), every answer closes its connection; active undoes it.
The policy file only holds each request to its own attempts.
- EDGE_SOCKET_FD: serve on the inherited listener, halve memory and descriptors, on SIGTERM stop accepting at once and finish what is in hand before the kill.

--- /dev/null
+++ b/cmd/wellgw/operate.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+
+	"wellgw/internal/config"
+	"wellgw/internal/control"
+	"wellgw/internal/core"
+	"wellgw/internal/handfile"
+	"wellgw/internal/operate"
+)
+
+// inheritedListener returns the clients' listener that the platform hands down,
+// as the descriptor that EDGE_SOCKET_FD names; nil where there is none.
+func inheritedListener(env func(string) string) (net.Listener, error) {
+	v := env("EDGE_SOCKET_FD")
+	if v == "" {
+		return nil, nil
+	}
+	fd, err := strconv.Atoi(v)
+	if err != nil || fd < 3 {
+		return nil, fmt.Errorf("EDGE_SOCKET_FD: %q is no descriptor", v)
+	}
+	file := os.NewFile(uintptr(fd), "clients")
+	l, err := net.FileListener(file)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_SOCKET_FD: %w", err)
+	}
+	file.Close() // FileListener holds a copy of its own
+	return l, nil
+}
+
+// standbyFront is a front that can send clients away for a while.
+type standbyFront interface{ Standby(on bool) }
+
+// operate sets up the desk for operators' calls: the bans an earlier process left,
+// the watch on them, the call line where the configuration names one, and the
+// settings taken on SIGHUP.
+func (g *gateway) operate(ctx context.Context, c *core.Core, f front, srv *http.Server) {
+	desk := &operate.Desk{
+		Core:  c,
+		Ready: func() bool { return g.serving.Load() != nil && c.Ready() },
+		Standby: func(on bool) {
+			if s, ok := f.(standbyFront); ok {
+				s.Standby(on)
+			}
+			srv.SetKeepAlivesEnabled(!on) // off closes the idle connections too
+		},
+		Log: g.log,
+	}
+	if g.name != "" {
+		desk.Store = handfile.Open(os.TempDir(), g.name)
+	}
+	desk.Load()
+	go desk.Watch(ctx)
+	g.retune = func(next *config.Platform) {
+		set := next.Settings()
+		if err := c.Retune(ctx, set); err != nil {
+			g.log.Error("settings not taken, the old ones stay", "cause", err)
+			return
+		}
+		if r, ok := f.(interface{ Retune(classes []string) }); ok {
+			names := make([]string, 0, len(set.Classes))
+			for _, cl := range set.Classes {
+				names = append(names, cl.Name)
+			}
+			r.Retune(names)
+		}
+		g.log.Info("settings taken", "classes", len(set.Classes), "attempts", set.MaxAttempts)
+	}
+	if g.control == "" {
+		return
+	}
+	l, err := net.Listen("tcp4", g.control)
+	if err != nil {
+		g.log.Error("no call line", "control", g.control, "cause", err)
+		return
+	}
+	g.log.Info("calls taken", "control", l.Addr().String())
+	go func() {
+		if err := control.Serve(ctx, l, desk.Answer, g.log); err != nil {
+			g.log.Error("call line ended", "cause", err)
+		}
+	}()
+}
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -92,6 +92,10 @@
 	garbage int                   // see fitLimits; 0 = usualGarbage
 	resume  bool                  // clients ask for the rest of a stream that is cut off
 	log     *slog.Logger
+
+	name    string                      // of the gateway, for the file of bans; "" keeps none
+	control string                      // where operators call; "" for nowhere
+	retune  func(next *config.Platform) // takes new settings on SIGHUP; set by run
 }
 
 // fitLimits keeps the runtime inside what the machine gives. garbage is how much may come
@@ -126,16 +130,22 @@
 		},
 		dialect: func(string) upstream.Dialect { return platform.Dialect{} },
 		longest: p.LongestWait(), resume: p.Options.Info.Resume,
+		name: p.Name, control: p.Control,
 	}
 	g.figures.Slack = wire.Micros(p.Options.Rules.AnswerSlack)
 	g.front = func(c *core.Core, b *intake.Budget) front { return platform.NewFront(c, g.set.Classes, b) }
 	g.directory = func(c *core.Core) (core.Directory, func(context.Context), error) {
 		w := platform.NewWatch(p.Discovery, g.set.MustSubscribe, c.Roster, g.log)
+		current := p // as last read; reloads come one at a time
 		g.reload = func() error {
-			next, err := config.ReadPlatformAnew(os.Getenv)
+			next, err := current.Anew(os.Getenv)
 			if err != nil {
 				return err
 			}
+			current = next
+			if g.retune != nil {
+				g.retune(next)
+			}
 			w.Move(next.Discovery)
 			return nil
 		}
@@ -224,12 +234,20 @@
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	hup := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
 	signal.Notify(hup, syscall.SIGHUP)
-	fitLimits(g.limits, cmp.Or(g.garbage, usualGarbage))
+	inherited, err := inheritedListener(os.Getenv)
+	if err != nil {
+		return err
+	}
+	limits := g.limits
+	if inherited != nil { // a new version may run beside this one, within the same limits
+		limits.MemoryMB, limits.Sockets = limits.MemoryMB/2, limits.Sockets/2
+	}
+	fitLimits(limits, cmp.Or(g.garbage, usualGarbage))
 	router, err := ringdale.New(g.set, g.seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	share := max(16, (g.limits.Sockets-spareSockets)/2)
+	share := max(16, (limits.Sockets-spareSockets)/2)
 	g.pool.MaxConns = share
 	g.figures.PinLimit, g.figures.MaxSends = g.set.PinLimit, g.set.MaxAttempts
 	pool := upstream.NewPool(g.pool)
@@ -251,12 +269,15 @@
 	go func() { defer close(worked); work(ctx) }()
 	go logCounts(ctx, c, checks, g.log)
 
-	l, err := net.Listen("tcp", g.listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	l := inherited
+	if l == nil {
+		if l, err = net.Listen("tcp4", g.listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
 	}
-	f := g.front(c, intake.NewBudget(int64(bodyPart*float64(g.limits.MemoryMB)*(1<<20))))
+	f := g.front(c, intake.NewBudget(int64(bodyPart*float64(limits.MemoryMB)*(1<<20))))
 	srv := newServer(f, g.log)
+	g.operate(ctx, c, f, srv)
 	clients := intake.NewListener(l, share)
 	srv.ConnState = clients.State
 	go g.reloads(ctx, hup) // to the very end: SIGHUP may come while the gateway leaves
@@ -270,10 +291,13 @@
 	case <-term:
 	}
 	g.log.Info("leaving")
-	if !g.resume {
+	if inherited != nil { // the next version takes what comes from now on
+		clients.Close()
+	}
+	if !g.resume || inherited != nil {
 		f.Close()
 	}
-	g.leave(ctx, srv, c, f)
+	g.leave(ctx, srv, c, f, inherited != nil)
 	checks.Log(g.log)
 	stop()
 	select { // a listing elsewhere is to be taken off, the last good view written
@@ -311,11 +335,18 @@
 // nor is it at the first, when the last one may not be back. Elsewhere a stream must
 // not be cut off while its events come, so nothing new is taken after a moment and
 // what runs does so for as long as it may.
-func (g *gateway) leave(ctx context.Context, srv *http.Server, c *core.Core, f front) {
+//
+// On an inherited socket the next version takes new clients at once, so nothing
+// new is waited for: what is in hand is finished before the kill.
+func (g *gateway) leave(ctx context.Context, srv *http.Server, c *core.Core, f front, handed bool) {
 	kill := time.Now().Add(min(g.longest, longestWait) + killAfter - beforeKill)
-	time.Sleep(acceptAfter)
 	finish, done := ctx, context.CancelFunc(func() {})
-	if g.resume {
+	if handed {
+		finish, done = context.WithDeadline(ctx, kill)
+	} else {
+		time.Sleep(acceptAfter)
+	}
+	if g.resume && !handed {
 		for time.Now().Before(kill) && c.Quiet(ctx) < quietFor {
 			time.Sleep(quietLook)
 		}
--- /dev/null
+++ b/decide/handban/handban_test.go
@@ -0,0 +1,106 @@
+package handban
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wellgw/ringdale"
+)
+
+func on(name string, up ringdale.Time) ringdale.ServerInfo {
+	return ringdale.ServerInfo{Name: name, Phase: ringdale.PhaseOn, CameUp: up}
+}
+
+func TestCalls(t *testing.T) {
+	const now = ringdale.Time(time.Hour)
+	for _, c := range []struct {
+		name   string
+		calls  func(b *Bans) bool // the last call's answer
+		want   bool
+		out    []string
+		phase  ringdale.Phase
+		cameUp ringdale.Time
+	}{
+		{"never listed", func(b *Bans) bool { _, ok := b.Call("x", true, now); return ok }, false, nil, ringdale.PhaseOn, 0},
+		{"out", func(b *Bans) bool { _, ok := b.Call("e1", true, now); return ok }, true, []string{"e1"}, ringdale.PhaseDraining, 0},
+		{"out twice", func(b *Bans) bool { b.Call("e1", true, now); _, ok := b.Call("e1", true, now); return ok }, true, []string{"e1"}, ringdale.PhaseDraining, 0},
+		{"out twice, back once", func(b *Bans) bool {
+			b.Call("e1", true, now)
+			b.Call("e1", true, now)
+			_, ok := b.Call("e1", false, now+time.Second)
+			return ok
+		}, true, nil, ringdale.PhaseOn, now + time.Second},
+		{"back without a ban", func(b *Bans) bool { _, ok := b.Call("e1", false, now); return ok }, true, nil, ringdale.PhaseOn, 0},
+		{"taken from a file", func(b *Bans) bool { b.Take([]string{"e1", "gone"}, now); return true }, true, []string{"e1", "gone"}, ringdale.PhaseDraining, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := New()
+			b.See("e1")
+			if got := c.calls(b); got != c.want {
+				t.Errorf("answer %v, want %v", got, c.want)
+			}
+			if !slices.Equal(b.Names(), c.out) && len(b.Names())+len(c.out) > 0 {
+				t.Errorf("out %v, want %v", b.Names(), c.out)
+			}
+			s := b.Show(on("e1", 0))
+			if s.Phase != c.phase || s.CameUp != c.cameUp {
+				t.Errorf("shown %+v, want phase %v came up %v", s, c.phase, c.cameUp)
+			}
+		})
+	}
+}
+
+// A later start on the list ends the cold return; an earlier one does not.
+func TestBackIsCold(t *testing.T) {
+	b := New()
+	b.See("e1")
+	b.Call("e1", true, 10)
+	b.Call("e1", false, 20)
+	if s := b.Show(on("e1", 5)); s.CameUp != 20 {
+		t.Errorf("came up %v, want 20", s.CameUp)
+	}
+	if s := b.Show(on("e1", 30)); s.CameUp != 30 {
+		t.Errorf("came up %v, want 30", s.CameUp)
+	}
+	if s := b.Show(on("e1", 5)); s.CameUp != 5 {
+		t.Errorf("after a later start: %v", s.CameUp)
+	}
+}
+
+// Whatever the calls and lists, an engine is shown on only while it is not out,
+// and a call on a name never listed changes nothing.
+func TestBansHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New()
+		names := []string{"a", "b", "c", "d"}
+		out := map[string]bool{}
+		listed := map[string]bool{}
+		now := ringdale.Time(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += ringdale.Time(rapid.IntRange(0, 1000).Draw(t, "dt"))
+			n := rapid.SampledFrom(names).Draw(t, "name")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				b.See(n)
+				listed[n] = true
+			case 1, 2:
+				o := rapid.Bool().Draw(t, "out")
+				_, ok := b.Call(n, o, now)
+				if ok != (listed[n] || out[n]) {
+					t.Fatalf("call on %s answered %v", n, ok)
+				}
+				if ok {
+					out[n] = o
+				}
+			case 3:
+				s := b.Show(on(n, 0))
+				if (s.Phase == ringdale.PhaseOn) == out[n] {
+					t.Fatalf("%s shown %v while out is %v", n, s.Phase, out[n])
+				}
+			}
+		}
+	})
+}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -48,10 +48,13 @@
 	Name      string       `json:"name"`
 	Listen    string       `json:"listen"`
 	Discovery string       `json:"discovery"`
+	Control   string       `json:"control"` // where operators call; "" for nowhere
 	Seed      string       `json:"seed"`
 	Limits    Limits       `json:"limits"`
 	Known     List         `json:"known"`
 	Options   wire.Options `json:"settings"`
+
+	shape shape // which keys of the settings the text had
 }
 
 // The limits of a scored day stand in for absent ones.
@@ -86,6 +89,15 @@
 }
 
 func readPlatform(env func(string) string, envFirst bool) (*Platform, error) {
+	raw, err := readObject(env)
+	if err != nil {
+		return nil, err
+	}
+	return parsePlatform(raw, env, envFirst)
+}
+
+// readObject reads the text of the object that EDGE_CONFIG names.
+func readObject(env func(string) string) ([]byte, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
 		return nil, errors.New("EDGE_CONFIG: not set")
@@ -94,7 +106,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	return parsePlatform(raw, env, envFirst)
+	return raw, nil
 }
 
 // ParsePlatform is ReadPlatform on the object's text.
@@ -107,17 +119,23 @@
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, p); err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %s", oneLine(err))
 	}
-	for name, field := range map[string]*string{"EDGE_NAME": &p.Name, "EDGE_LISTEN": &p.Listen, "EDGE_DISCOVERY": &p.Discovery} {
+	for name, field := range map[string]*string{"EDGE_NAME": &p.Name, "EDGE_LISTEN": &p.Listen, "EDGE_DISCOVERY": &p.Discovery, "EDGE_CONTROL": &p.Control} {
 		if v := env(name); v != "" && (envFirst || *field == "") {
 			*field = v
 		}
 	}
+	p.shape = shapeOf(raw)
 	p.Limits.fill()
 	for _, a := range []struct{ field, value string }{{"listen", p.Listen}, {"discovery", p.Discovery}} {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return nil, fmt.Errorf("%s: %w", a.field, err)
 		}
 	}
+	if p.Control != "" {
+		if _, _, err := net.SplitHostPort(p.Control); err != nil {
+			return nil, fmt.Errorf("control: %w", err)
+		}
+	}
 	if _, err := p.SeedNumber(); err != nil {
 		return nil, err
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"wellgw/decide/handban"
 	"wellgw/internal/invariant"
 	"wellgw/ringdale"
 )
@@ -35,6 +36,7 @@
 
 	// Owned by the goroutine of Run.
 	members  map[string]Member
+	bans     *handban.Bans // engines out by hand
 	requests map[ringdale.RequestID]*request
 	wires    map[string]bool
 	lastID   ringdale.RequestID
@@ -81,7 +83,7 @@
 		router: r, engine: e, directory: d, fig: fig, log: log, checks: checks,
 		origin: time.Now().Add(-clockOrigin),
 		queue:  make(chan func(), queueSize), done: make(chan struct{}),
-		members: map[string]Member{}, requests: map[ringdale.RequestID]*request{},
+		members: map[string]Member{}, bans: handban.New(), requests: map[ringdale.RequestID]*request{},
 		wires: map[string]bool{}, counts: map[string]int{}, traffic: map[string]*Traffic{},
 	}
 }
@@ -224,13 +226,10 @@
 		if c.members[m.Name] = m; m.Phase == ringdale.PhaseOff {
 			delete(c.members, m.Name)
 		}
-		ev.Servers = append(ev.Servers, m.ServerInfo)
+		c.bans.See(m.Name)
+		ev.Servers = append(ev.Servers, c.bans.Show(m.ServerInfo))
 	}
-	on := false
-	for _, m := range c.members {
-		on = on || m.Phase == ringdale.PhaseOn
-	}
-	c.ready.Store(on)
+	c.setReady()
 	c.tell(ev)
 }
 
--- /dev/null
+++ b/internal/core/hand.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"wellgw/decide/handban"
+	"wellgw/ringdale"
+)
+
+// handAnswer is what the core's goroutine says of a call on an engine.
+type handAnswer struct {
+	names []string
+	ok    bool
+}
+
+// Hand takes an operator's call on an engine: out for maint-on, else maint-off.
+// It returns the names out by hand afterwards, and false for a name that was
+// never listed (nothing changes then) or if ctx ends first.
+func (c *Core) Hand(ctx context.Context, name string, out bool) (names []string, ok bool) {
+	a := query(ctx, c, func() handAnswer {
+		ch, ok := c.bans.Call(name, out, c.now())
+		if ok {
+			c.banned(ch)
+		}
+		return handAnswer{c.bans.Names(), ok}
+	})
+	return a.names, a.ok
+}
+
+// Bans makes names the whole set of engines out by hand, as another process of
+// this gateway has written it.
+func (c *Core) Bans(names []string) {
+	c.post(func() { c.banned(c.bans.Take(names, c.now())) })
+}
+
+// now is the module's clock.
+func (c *Core) now() ringdale.Time { return time.Since(c.origin) }
+
+// banned shows the module the engines whose ban began or ended.
+func (c *Core) banned(ch handban.Change) {
+	ev := ringdale.Roster{Scope: ringdale.RosterChanges}
+	for _, names := range [][]string{ch.Out, ch.Back} {
+		for _, n := range names {
+			if m, ok := c.members[n]; ok {
+				ev.Servers = append(ev.Servers, c.bans.Show(m.ServerInfo))
+			}
+		}
+	}
+	c.setReady()
+	if len(ev.Servers) > 0 {
+		for _, n := range ch.Out {
+			c.log.Info("engine out by hand", "engine", n)
+		}
+		for _, n := range ch.Back {
+			c.log.Info("engine back by hand", "engine", n)
+		}
+		c.tell(ev)
+	}
+}
+
+// setReady tells whether some engine may be sent to.
+func (c *Core) setReady() {
+	on := false
+	for _, m := range c.members {
+		on = on || m.Phase == ringdale.PhaseOn && !c.bans.Out(m.Name)
+	}
+	c.ready.Store(on)
+}
+
+// Retune gives the module new classes and attempts. Requests in hand keep what
+// they came with. An error names the setting at fault; nothing changes then.
+func (c *Core) Retune(ctx context.Context, set ringdale.Settings) error {
+	err := query(ctx, c, func() *error {
+		err := c.router.Retune(set.Classes, set.MaxAttempts)
+		if err == nil {
+			c.fig.MaxSends = max(c.fig.MaxSends, set.MaxAttempts) // a backstop: the module holds each request to its own
+		}
+		return &err
+	})
+	if err == nil {
+		return ctx.Err()
+	}
+	return *err
+}
--- /dev/null
+++ b/internal/core/hand_test.go
@@ -0,0 +1,82 @@
+package core
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"wellgw/ringdale"
+)
+
+// An engine out by hand gets nothing new, whatever the list says, until it is
+// called back; a name never listed is refused.
+func TestEnginesOutByHand(t *testing.T) {
+	f := &fake{script: script(func() (Stream, *Result) { return ended(ringdale.StatusError) })}
+	c := newCore(t, f)
+	c.Roster(ringdale.RosterChanges, []Member{{ServerInfo: ringdale.ServerInfo{Name: "w2", Kind: "w", Weight: 1}}})
+	if _, ok := c.Hand(t.Context(), "nobody", true); ok {
+		t.Fatal("a name never listed was taken out")
+	}
+	if names, ok := c.Hand(t.Context(), "w1", true); !ok || !slices.Equal(names, []string{"w1"}) {
+		t.Fatalf("out: %v %v", names, ok)
+	}
+	if names, ok := c.Hand(t.Context(), "w1", true); !ok || len(names) != 1 {
+		t.Fatalf("a second call out: %v %v", names, ok)
+	}
+	// The list says it is on: the ban holds.
+	c.Roster(ringdale.RosterFull, []Member{
+		{ServerInfo: ringdale.ServerInfo{Name: "r1", Kind: "r", Weight: 1}},
+		{ServerInfo: ringdale.ServerInfo{Name: "w1", Kind: "w", Weight: 1}},
+		{ServerInfo: ringdale.ServerInfo{Name: "w2", Kind: "w", Weight: 1}},
+	})
+	for range 20 {
+		Await(t.Context(), c, ask("free", time.Minute))
+	}
+	if err := c.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	f.mu.Lock()
+	sent := slices.Clone(f.attempts)
+	f.mu.Unlock()
+	if slices.Contains(sent, "w1") || !slices.Contains(sent, "w2") {
+		t.Fatalf("attempts during the ban: %v", sent)
+	}
+	if names, ok := c.Hand(t.Context(), "w1", false); !ok || len(names) != 0 {
+		t.Fatalf("back: %v %v", names, ok)
+	}
+	// Another process's file: the set is taken whole.
+	c.Bans([]string{"w2"})
+	if names, ok := c.Hand(t.Context(), "r1", false); !ok || !slices.Equal(names, []string{"w2"}) {
+		t.Fatalf("after the file: %v %v", names, ok)
+	}
+}
+
+// New settings bind new requests; a dropped class is still served; a bad set
+// changes nothing.
+func TestRetune(t *testing.T) {
+	f := &fake{script: script(func() (Stream, *Result) { return ended(ringdale.StatusError) })}
+	c := newCore(t, f)
+	bad := ringdale.Settings{Classes: []ringdale.Class{{Name: "new", Aim: time.Second}}, MaxAttempts: 0}
+	if err := c.Retune(t.Context(), bad); err == nil {
+		t.Fatal("no attempts were taken")
+	}
+	good := ringdale.Settings{Classes: []ringdale.Class{{Name: "new", Aim: 10 * time.Second, Gain: 1, Effect: ringdale.EffectSingleShot}}, MaxAttempts: 2}
+	if err := c.Retune(t.Context(), good); err != nil {
+		t.Fatal(err)
+	}
+	for _, class := range []string{"new", "free", "unknown"} {
+		f.mu.Lock()
+		before := len(f.attempts)
+		f.mu.Unlock()
+		Await(t.Context(), c, ask(class, time.Minute))
+		if err := c.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.mu.Lock()
+		sent := f.attempts[before:]
+		f.mu.Unlock()
+		if want := class != "unknown"; slices.Contains(sent, "w1") != want {
+			t.Errorf("%s: attempts %v", class, sent)
+		}
+	}
+}
--- /dev/null
+++ b/internal/handfile/handfile.go
@@ -0,0 +1,99 @@
+// Package handfile keeps the engines that operators took out by hand in a file,
+// so that they hold over an upgrade and in both processes while two overlap.
+package handfile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// maxSize bounds what is read of the file, in bytes.
+const maxSize = 1 << 20
+
+// Store is the file of one gateway's bans. It is safe for use by several
+// goroutines.
+type Store struct {
+	path string
+	mu   sync.Mutex
+	last []byte // the content last written or read here
+}
+
+// Open returns the store at dir for the gateway of this name; nothing is read yet.
+func Open(dir, gateway string) *Store {
+	clean := strings.Map(func(r rune) rune {
+		if r == '/' || r == 0 {
+			return '_'
+		}
+		return r
+	}, gateway)
+	return &Store{path: filepath.Join(dir, "wellgw-bans-"+clean)}
+}
+
+// Path is the file's path.
+func (s *Store) Path() string { return s.path }
+
+// Write makes names the whole content of the file: written aside, then renamed,
+// so that a reader never sees half of it.
+func (s *Store) Write(names []string) error {
+	names = slices.Clone(names)
+	slices.Sort(names)
+	text := []byte(strings.Join(names, "\n") + "\n")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	aside := s.path + ".new"
+	if err := os.WriteFile(aside, text, 0o600); err != nil {
+		return fmt.Errorf("bans: %w", err)
+	}
+	if err := os.Rename(aside, s.path); err != nil {
+		return fmt.Errorf("bans: %w", err)
+	}
+	s.last = text
+	return nil
+}
+
+// Read returns the names in the file, and whether they differ from what this
+// store last wrote or read. A missing file is an empty set.
+func (s *Store) Read() (names []string, changed bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text, err := read(s.path)
+	if err != nil {
+		return nil, false, err
+	}
+	changed = !bytes.Equal(text, s.last) && (s.last != nil || len(text) > 0)
+	s.last = text
+	for _, line := range strings.Split(string(text), "\n") {
+		if line = strings.TrimSpace(line); line != "" {
+			names = append(names, line)
+		}
+	}
+	return names, changed, nil
+}
+
+func read(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return []byte{}, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("bans: %w", err)
+	}
+	if info.Size() > maxSize {
+		return nil, fmt.Errorf("bans: %s is over %d bytes", path, maxSize)
+	}
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return []byte{}, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("bans: %w", err)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/operate/operate.go
@@ -0,0 +1,95 @@
+// Package operate carries out operators' calls on a running gateway: it answers
+// status, takes engines out by hand and back, and drains the clients' side.
+package operate
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"wellgw/internal/control"
+	"wellgw/internal/handfile"
+)
+
+// Look is how often the file of bans is read for what the other process of an
+// upgrade has written.
+const Look = 100 * time.Millisecond
+
+// Core is what of the core the desk needs.
+type Core interface {
+	Hand(ctx context.Context, name string, out bool) (names []string, ok bool)
+	Bans(names []string)
+}
+
+// Desk answers calls. Its fields are set before the first call.
+type Desk struct {
+	Core    Core
+	Store   *handfile.Store // nil keeps bans in this process alone
+	Ready   func() bool     // this process can serve
+	Standby func(on bool)   // clients are sent away while on
+	Log     *slog.Logger
+
+	mu sync.Mutex // one call on engines at a time, file included
+}
+
+// Load reads the bans that an earlier process left and gives them to the core.
+func (d *Desk) Load() {
+	if d.Store == nil {
+		return
+	}
+	names, changed, err := d.Store.Read()
+	if err != nil {
+		d.Log.Error("bans not read", "cause", err)
+		return
+	}
+	if changed {
+		d.Log.Info("engines out by hand, as found", "engines", names)
+		d.Core.Bans(names)
+	}
+}
+
+// Watch reads the file of bans every Look until ctx ends.
+func (d *Desk) Watch(ctx context.Context) {
+	if d.Store == nil {
+		return
+	}
+	t := time.NewTicker(Look)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		d.mu.Lock()
+		d.Load()
+		d.mu.Unlock()
+	}
+}
+
+// Answer is a control.Handler.
+func (d *Desk) Answer(ctx context.Context, c control.Call) bool {
+	switch c.Verb {
+	case control.Status:
+		return d.Ready()
+	case control.Standby, control.Active:
+		d.Standby(c.Verb == control.Standby)
+		d.Log.Info("clients' side", "standby", c.Verb == control.Standby)
+		return true
+	case control.MaintOn, control.MaintOff:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		names, ok := d.Core.Hand(ctx, c.ID, c.Verb == control.MaintOn)
+		if !ok {
+			return false
+		}
+		if d.Store != nil {
+			if err := d.Store.Write(names); err != nil {
+				d.Log.Error("bans not written; they hold in this process only", "cause", err)
+			}
+		}
+		return true
+	}
+	return false
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -29,19 +29,40 @@
 type Front struct {
 	core    *core.Core
 	bodies  *intake.Budget
-	classes map[string]bool
+	classes atomic.Pointer[map[string]bool] // known classes; swapped whole on a retune
 	closing atomic.Bool
+	standby atomic.Bool // operators send clients away
 }
 
+// Standby has health checks fail and every answer end its connection while on is
+// true; the front serves all that still comes.
+func (f *Front) Standby(on bool) { f.standby.Store(on) }
+
 // NewFront returns a front to a core that knows these classes.
 func NewFront(c *core.Core, classes []ringdale.Class, bodies *intake.Budget) *Front {
-	f := &Front{core: c, bodies: bodies, classes: map[string]bool{}}
+	f := &Front{core: c, bodies: bodies}
+	known := map[string]bool{}
 	for _, class := range classes {
-		f.classes[class.Name] = true
+		known[class.Name] = true
 	}
+	f.classes.Store(&known)
 	return f
 }
 
+// Retune has the front take requests of these classes too, from now on. Classes
+// no longer named are still taken: requests that name them may be on the way, and
+// the module keeps their last rules.
+func (f *Front) Retune(classes []string) {
+	known := map[string]bool{}
+	for name := range *f.classes.Load() {
+		known[name] = true
+	}
+	for _, name := range classes {
+		known[name] = true
+	}
+	f.classes.Store(&known)
+}
+
 // Close has every answer from now on end its connection. New requests are still
 // taken: clients keep coming until they have noticed.
 func (f *Front) Close() { f.closing.Store(true) }
@@ -51,7 +72,7 @@
 	f.lastOnes(w)
 	switch r.URL.Path {
 	case "/healthz":
-		if !f.core.Ready() || f.closing.Load() {
+		if !f.core.Ready() || f.closing.Load() || f.standby.Load() {
 			http.Error(w, "no engine to send to", http.StatusServiceUnavailable)
 			return
 		}
@@ -66,7 +87,7 @@
 
 // lastOnes has the client close its connection if the gateway is leaving.
 func (f *Front) lastOnes(w http.ResponseWriter) {
-	if f.closing.Load() {
+	if f.closing.Load() || f.standby.Load() {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -181,7 +202,7 @@
 	if !validID(q.Wire) {
 		return q, errors.New("X-Request-Id: missing or malformed")
 	}
-	if !f.classes[q.Class] {
+	if !(*f.classes.Load())[q.Class] {
 		return q, errors.New("X-Class: missing or unknown")
 	}
 	if len(q.Session) > 256 {
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -127,7 +127,7 @@
 	if r.reqs[e.ID] != nil {
 		return
 	}
-	q := &request{Request: e, class: class, deadline: r.now + e.TTL, since: r.now}
+	q := &request{Request: e, class: class, deadline: r.now + e.TTL, since: r.now, most: r.set.MaxAttempts}
 	r.reqs[e.ID] = q
 	if class == nil {
 		r.giveUp(q, 0)
@@ -275,7 +275,7 @@
 	if r.set.CanCancel { // silence is seen by watch, so that a crowd is not mistaken for it
 		limit = max(2*limit, 2*q.class.Aim)
 	}
-	if q.attempts >= r.set.MaxAttempts-1 || r.now+limit+leastRemain >= q.deadline {
+	if q.attempts >= q.most-1 || r.now+limit+leastRemain >= q.deadline {
 		limit = q.deadline - r.now
 	}
 	w.sends = append(w.sends, sendMark{r.now, r.weights[q.Class]})
@@ -352,7 +352,7 @@
 	switch {
 	case e.Final || q.ended:
 		r.close(q)
-	case e.Status == StatusRead && q.attempts < r.set.MaxAttempts:
+	case e.Status == StatusRead && q.attempts < q.most:
 		r.toWriter(q)
 	default:
 		if e.NoState {
@@ -366,7 +366,7 @@
 // again decides what follows a failed attempt: a waiting state goes to another
 // writer, anything else is read anew, within the retry budget.
 func (r *Router) again(q *request, s Status) {
-	left := r.set.MaxAttempts - q.attempts
+	left := q.most - q.attempts
 	spent := left < 1 || left < 2 && q.holder == nil || q.deadline-r.now < leastRemain || s == StatusUnsent
 	if spent || len(q.risks) > 0 && q.class.Effect == EffectSingleShot {
 		r.giveUp(q, 0)
@@ -788,7 +788,7 @@
 		for _, q := range slices.Clone(w.out) {
 			age := r.now - q.sentAt
 			busy := !late || w.heard > q.sentAt && (r.slow(w) == 1 || age < q.class.Aim)
-			spent := q.cancelled || r.retries < 1 || q.attempts >= r.set.MaxAttempts
+			spent := q.cancelled || r.retries < 1 || q.attempts >= q.most
 			if busy && q.sentAt >= w.passed || spent || age < r.patience(q) {
 				continue
 			}
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -27,6 +27,7 @@
 type request struct {
 	Request
 	class         *Class
+	most          int     // attempts allowed, as the settings said at its arrival
 	density       float64 // worth per unit of work, lower beyond the tenant's quota
 	deadline, aim Time
 	phase         phase
@@ -411,6 +412,30 @@
 	return (float64((x^x>>31)>>11) + 0.5) / (1 << 53)
 }
 
+// Retune takes new classes and a new number of attempts while the router runs.
+// Requests in hand keep the class and the attempts they came with; a class no
+// longer named stays known under its last rules, for requests that still name it.
+// An error names the setting at fault, and then nothing changes.
+func (r *Router) Retune(classes []Class, attempts int) error {
+	next := r.set
+	next.Classes, next.MaxAttempts = slices.Clone(classes), attempts
+	if err := validate(&next); err != nil {
+		return err
+	}
+	for _, old := range r.set.Classes {
+		if !slices.ContainsFunc(classes, func(c Class) bool { return c.Name == old.Name }) {
+			next.Classes = append(next.Classes, old)
+		}
+	}
+	r.set.Classes, r.set.MaxAttempts = next.Classes, attempts
+	r.classes, r.topGain = map[string]*Class{}, 0
+	for i := range r.set.Classes {
+		r.classes[r.set.Classes[i].Name] = &r.set.Classes[i]
+		r.topGain = max(r.topGain, r.set.Classes[i].Gain, 1e-9)
+	}
+	return nil
+}
+
 func validate(s *Settings) error {
 	switch {
 	case s.Routers < 1:
