--- a/cmd/wellgw/operate.go
+++ b/cmd/wellgw/operate.go
@@ -12,6 +12,7 @@
 	"wellgw/internal/control"
 	"wellgw/internal/core"
 	"wellgw/internal/handfile"
+	"wellgw/internal/handover"
 	"wellgw/internal/operate"
 )
 
@@ -88,3 +89,18 @@
 		}
 	}()
 }
+
+// handOver says when this process is ready, and calls stop once a newer version of
+// the same gateway on the same socket has said it is.
+func (g *gateway) handOver(ctx context.Context, c *core.Core, stop func()) {
+	self := handover.Self{Started: g.started, PID: os.Getpid()}
+	place := handover.At(os.TempDir(), g.name)
+	ready := func() bool { return g.serving.Load() != nil && c.Ready() }
+	err := place.Watch(ctx, self, ready, func(o handover.Self) {
+		g.log.Info("a newer version serves; nothing new is taken here", "pid", o.PID)
+		stop()
+	})
+	if err != nil {
+		g.log.Error("no hand-over to a newer version", "cause", err)
+	}
+}
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -93,6 +93,7 @@
 	resume  bool                  // clients ask for the rest of a stream that is cut off
 	log     *slog.Logger
 
+	started time.Time                   // of this process
 	name    string                      // of the gateway, for the file of bans; "" keeps none
 	control string                      // where operators call; "" for nowhere
 	retune  func(next *config.Platform) // takes new settings on SIGHUP; set by run
@@ -228,6 +229,7 @@
 
 // run serves until SIGTERM and then leaves in good order.
 func (g *gateway) run(ctx context.Context) error {
+	g.started = time.Now()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	term := make(chan os.Signal, 1)
@@ -285,9 +287,20 @@
 	go func() { failed <- srv.Serve(clients) }()
 	g.serving.Store(l.Addr().String())
 	g.log.Info("serving", "listen", l.Addr().String())
+	var handed atomic.Bool // a newer version takes the clients from now on
+	if inherited != nil && g.name != "" {
+		go g.handOver(ctx, c, func() {
+			handed.Store(true)
+			clients.Close()
+			f.Close()
+		})
+	}
 	select {
 	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
+		if !handed.Load() {
+			return fmt.Errorf("serve: %w", err)
+		}
+		<-term // the process runs until it is told to end
 	case <-term:
 	}
 	g.log.Info("leaving")
