--- /dev/null
+++ b/internal/platform/leave_test.go
@@ -0,0 +1,34 @@
+package platform
+
+import (
+	"net/http"
+
+	"testing"
+	"wellgw/internal/playback"
+)
+
+// Standby turns health to no, with every answer closing its connection, and
+// back; requests are still served meanwhile.
+func TestStandby(t *testing.T) {
+	addr, _, _, _, f := gatewayFront(t, read, func(playback.Call) string { return playback.Stream(2, 0) })
+	url := "http://" + addr
+	health := func() (int, bool) {
+		resp, err := http.Get(url + "/healthz")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode, resp.Close
+	}
+	if code, _ := health(); code != http.StatusOK {
+		t.Fatalf("before: %d", code)
+	}
+	f.Standby(true)
+	if code, closes := health(); code != http.StatusServiceUnavailable || !closes {
+		t.Errorf("standby: %d, connection closed %v", code, closes)
+	}
+	f.Standby(false)
+	if code, closes := health(); code != http.StatusOK || closes {
+		t.Errorf("active: %d, connection closed %v", code, closes)
+	}
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -139,6 +139,12 @@
 
 // gateway starts a front on loopback before one reader and one writer.
 func gateway(t *testing.T, reader, writer func(playback.Call) string) (addr string, r, w *playback.Engine, c *core.Core) {
+	addr, r, w, c, _ = gatewayFront(t, reader, writer)
+	return addr, r, w, c
+}
+
+// gatewayFront is gateway, with its front.
+func gatewayFront(t *testing.T, reader, writer func(playback.Call) string) (addr string, r, w *playback.Engine, c *core.Core, f *Front) {
 	set := ringdale.Settings{
 		Zones: []string{"a"}, Routers: 1, MaxAttempts: 4, CanCancel: true, CanRetryAfter: true, MaxRetryAfter: time.Second,
 		Classes: []ringdale.Class{
@@ -170,13 +176,14 @@
 		{ServerInfo: ringdale.ServerInfo{Name: "r1", Kind: "r", Zone: "a", Weight: 1}, Addr: r.Addr},
 		{ServerInfo: ringdale.ServerInfo{Name: "w1", Kind: "w", Zone: "a", Weight: 1}, Addr: w.Addr},
 	})
-	server := httptest.NewUnstartedServer(NewFront(c, set.Classes, intake.NewBudget(1<<20)))
+	f = NewFront(c, set.Classes, intake.NewBudget(1<<20))
+	server := httptest.NewUnstartedServer(f)
 	server.Config.ErrorLog = slog.NewLogLogger(log.Handler(), 0)
 	clients := intake.NewListener(server.Listener, 64)
 	server.Listener, server.Config.ConnState = clients, clients.State
 	server.Start()
 	t.Cleanup(server.Close)
-	return server.Listener.Addr().String(), r, w, c
+	return server.Listener.Addr().String(), r, w, c, f
 }
 
 func read(playback.Call) string { return playback.Status(202, "", `{"cached_tokens":0}`) }
