After a ban, trust a start that the list showed during it

Taking the call back as an engine's start always kept engines that restarted early in their ban cold for longer than they were. Now a start that the list showed after the ban began stands; without one, the engine is still shown as started at its return.

--- a/decide/handban/handban.go
+++ b/decide/handban/handban.go
@@ -22,12 +22,16 @@
 	listed map[string]bool
 	order  []string // of listed, oldest first
 	out    map[string]bool
-	back   map[string]ringdale.Time // when a ban ended, while it may still count
+	outAt  map[string]ringdale.Time // when each ban in force began
+	back   map[string]ret           // bans that ended, while they may still count
 }
 
+// ret is the end of a ban.
+type ret struct{ out, at ringdale.Time } // when it began and ended
+
 // New returns an empty set of bans.
 func New() *Bans {
-	return &Bans{listed: map[string]bool{}, out: map[string]bool{}, back: map[string]ringdale.Time{}}
+	return &Bans{listed: map[string]bool{}, out: map[string]bool{}, outAt: map[string]ringdale.Time{}, back: map[string]ret{}}
 }
 
 // See records that a name is on a list.
@@ -98,12 +102,14 @@
 	for n := range next {
 		if !b.out[n] {
 			ch.Out = append(ch.Out, n)
+			b.outAt[n] = now
 		}
 	}
 	for n := range b.out {
 		if !next[n] {
 			ch.Back = append(ch.Back, n)
-			b.back[n] = now
+			b.back[n] = ret{out: b.outAt[n], at: now}
+			delete(b.outAt, n)
 		}
 	}
 	for n := range next {
@@ -116,8 +122,9 @@
 }
 
 // Show returns the entry that the module is to see for s: draining while it is
-// out, and started no earlier than its return until the list tells of a later
-// start. An engine out by hand is restarted meanwhile, so it comes back cold.
+// out. An engine out by hand is restarted meanwhile and comes back cold: a start
+// that the list shows after the ban began stands; without one, the engine is shown
+// as started at its return, until the list tells of a later start.
 func (b *Bans) Show(s ringdale.ServerInfo) ringdale.ServerInfo {
 	if b.out[s.Name] {
 		if s.Phase == ringdale.PhaseOn {
@@ -125,11 +132,11 @@
 		}
 		return s
 	}
-	if at, ok := b.back[s.Name]; ok {
-		if s.CameUp >= at {
+	if r, ok := b.back[s.Name]; ok {
+		if s.CameUp >= r.out {
 			delete(b.back, s.Name)
 		} else {
-			s.CameUp = at
+			s.CameUp = r.at
 		}
 	}
 	return s
