--- a/cmd/wellgw/operate.go
+++ b/cmd/wellgw/operate.go
@@ -54,11 +54,13 @@
 		},
 		Log: g.log,
 	}
-	if g.name != "" {
+	// Bans come only by calls, here or in the other process of an upgrade; where
+	// neither can be, nothing is read or polled.
+	if g.name != "" && (g.control != "" || os.Getenv("EDGE_SOCKET_FD") != "") {
 		desk.Store = handfile.Open(os.TempDir(), g.name)
+		desk.Load()
+		go desk.Watch(ctx)
 	}
-	desk.Load()
-	go desk.Watch(ctx)
 	g.retune = func(next *config.Platform) {
 		set := next.Settings()
 		if err := c.Retune(ctx, set); err != nil {
