One package and one watch for what two processes share; fewer checks done twice

The reload checked attempts and aims that the module's own check of the settings already refuses, and tested JSON validity and emptiness that the parser already reports.

--- a/cmd/wellgw/operate.go
+++ b/cmd/wellgw/operate.go
@@ -7,12 +7,12 @@
 	"net/http"
 	"os"
 	"strconv"
+	"time"
 
 	"wellgw/internal/config"
 	"wellgw/internal/control"
 	"wellgw/internal/core"
 	"wellgw/internal/handfile"
-	"wellgw/internal/handover"
 	"wellgw/internal/operate"
 )
 
@@ -40,9 +40,10 @@
 type standbyFront interface{ Standby(on bool) }
 
 // operate sets up the desk for operators' calls: the bans an earlier process left,
-// the watch on them, the call line where the configuration names one, and the
-// settings taken on SIGHUP.
-func (g *gateway) operate(ctx context.Context, c *core.Core, f front, srv *http.Server) {
+// the watch on the files shared with another process, the call line where the
+// configuration names one, and the settings taken on SIGHUP. handOver, nil where
+// the clients' socket is not shared, is called once a newer version is ready.
+func (g *gateway) operate(ctx context.Context, c *core.Core, f front, srv *http.Server, handOver func()) {
 	desk := &operate.Desk{
 		Core:  c,
 		Ready: func() bool { return g.serving.Load() != nil && c.Ready() },
@@ -56,8 +57,9 @@
 	}
 	// Bans come only by calls, here or in the other process of an upgrade; where
 	// neither can be, nothing is read or polled.
-	if g.name != "" && (g.control != "" || os.Getenv("EDGE_SOCKET_FD") != "") {
+	if g.name != "" && (g.control != "" || handOver != nil) {
 		desk.Store = handfile.Open(os.TempDir(), g.name)
+		desk.Self, desk.Newer = handfile.Self{Started: time.Now(), PID: os.Getpid()}, handOver
 		desk.Load()
 		go desk.Watch(ctx)
 	}
@@ -91,18 +93,3 @@
 		}
 	}()
 }
-
-// handOver says when this process is ready, and calls stop once a newer version of
-// the same gateway on the same socket has said it is.
-func (g *gateway) handOver(ctx context.Context, c *core.Core, stop func()) {
-	self := handover.Self{Started: g.started, PID: os.Getpid()}
-	place := handover.At(os.TempDir(), g.name)
-	ready := func() bool { return g.serving.Load() != nil && c.Ready() }
-	err := place.Watch(ctx, self, ready, func(o handover.Self) {
-		g.log.Info("a newer version serves; nothing new is taken here", "pid", o.PID)
-		stop()
-	})
-	if err != nil {
-		g.log.Error("no hand-over to a newer version", "cause", err)
-	}
-}
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -93,7 +93,6 @@
 	resume  bool                  // clients ask for the rest of a stream that is cut off
 	log     *slog.Logger
 
-	started time.Time                   // of this process
 	name    string                      // of the gateway, for the file of bans; "" keeps none
 	control string                      // where operators call; "" for nowhere
 	retune  func(next *config.Platform) // takes new settings on SIGHUP; set by run
@@ -229,7 +228,6 @@
 
 // run serves until SIGTERM and then leaves in good order.
 func (g *gateway) run(ctx context.Context) error {
-	g.started = time.Now()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	term := make(chan os.Signal, 1)
@@ -279,22 +277,23 @@
 	}
 	f := g.front(c, intake.NewBudget(int64(bodyPart*float64(limits.MemoryMB)*(1<<20))))
 	srv := newServer(f, g.log)
-	g.operate(ctx, c, f, srv)
 	clients := intake.NewListener(l, share)
+	var handed atomic.Bool // a newer version takes the clients from now on
+	var handOver func()
+	if inherited != nil {
+		handOver = func() {
+			handed.Store(true)
+			clients.Close()
+			f.Close()
+		}
+	}
+	g.operate(ctx, c, f, srv, handOver)
 	srv.ConnState = clients.State
 	go g.reloads(ctx, hup) // to the very end: SIGHUP may come while the gateway leaves
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(clients) }()
 	g.serving.Store(l.Addr().String())
 	g.log.Info("serving", "listen", l.Addr().String())
-	var handed atomic.Bool // a newer version takes the clients from now on
-	if inherited != nil && g.name != "" {
-		go g.handOver(ctx, c, func() {
-			handed.Store(true)
-			clients.Close()
-			f.Close()
-		})
-	}
 	select {
 	case err := <-failed:
 		if !handed.Load() {
--- a/internal/config/retune_test.go
+++ b/internal/config/retune_test.go
@@ -35,7 +35,7 @@
 		{"no settings", strings.Replace(platformText, `"settings"`, `"other"`, 1), ""},
 		{"a class without its deadline", strings.Replace(platformText, `,"hard_limit":4000000`, ``, 1), "hard_limit: missing"},
 		{"a class without its effect", strings.Replace(platformText, `,"effect":"single_shot"`, ``, 1), "effect: missing"},
-		{"no attempts", strings.Replace(platformText, `"send_cap":4`, `"other":4`, 1), "send_cap"},
+		{"no attempts", strings.Replace(platformText, `"send_cap":4`, `"other":4`, 1), "MaxAttempts"},
 		{"a deadline of 0", strings.Replace(platformText, `"hard_limit":4000000`, `"hard_limit":0`, 1), "hard_limit"},
 		{"a deadline below 0", strings.Replace(platformText, `"hard_limit":4000000`, `"hard_limit":-1`, 1), "hard_limit"},
 		{"attempts of 0", strings.Replace(platformText, `"send_cap":4`, `"send_cap":0`, 1), "MaxAttempts"},
--- a/internal/handfile/handfile.go
+++ b/internal/handfile/handfile.go
@@ -1,5 +1,6 @@
-// Package handfile keeps the engines that operators took out by hand in a file,
-// so that they hold over an upgrade and in both processes while two overlap.
+// Package handfile keeps what the two processes of one gateway share over an
+// upgrade, in files in a directory both see ($TMPDIR on the platform): the
+// engines that operators took out by hand, and which process is ready to serve.
 package handfile
 
 import (
@@ -20,9 +21,10 @@
 // Store is the file of one gateway's bans. It is safe for use by several
 // goroutines.
 type Store struct {
-	path string
-	mu   sync.Mutex
-	last []byte // the content last written or read here
+	path  string // of the bans
+	ready string // of the process that is ready
+	mu    sync.Mutex
+	last  []byte // the content last written or read here
 }
 
 // Open returns the store at dir for the gateway of this name; nothing is read yet.
@@ -33,7 +35,7 @@
 		}
 		return r
 	}, gateway)
-	return &Store{path: filepath.Join(dir, "wellgw-bans-"+clean)}
+	return &Store{path: filepath.Join(dir, "wellgw-bans-"+clean), ready: filepath.Join(dir, "wellgw-ready-"+clean)}
 }
 
 // Path is the file's path.
@@ -47,11 +49,7 @@
 	text := []byte(strings.Join(names, "\n") + "\n")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	aside := s.path + ".new"
-	if err := os.WriteFile(aside, text, 0o600); err != nil {
-		return fmt.Errorf("bans: %w", err)
-	}
-	if err := os.Rename(aside, s.path); err != nil {
+	if err := writeAside(s.path, string(text)); err != nil {
 		return fmt.Errorf("bans: %w", err)
 	}
 	s.last = text
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -12,8 +12,8 @@
 	"wellgw/internal/handfile"
 )
 
-// Look is how often the file of bans is read for what the other process of an
-// upgrade has written.
+// Look is how often the files shared with the other process of an upgrade are
+// read: its bans, and whether it is a newer version that is ready.
 const Look = 100 * time.Millisecond
 
 // Core is what of the core the desk needs.
@@ -30,6 +30,11 @@
 	Standby func(on bool)   // clients are sent away while on
 	Log     *slog.Logger
 
+	// With a Store, Self says it is ready there, and Newer is called once when a
+	// newer process says so; nil Newer for a process that shares no socket.
+	Self  handfile.Self
+	Newer func()
+
 	mu sync.Mutex // one call on engines at a time, file included
 }
 
@@ -49,22 +54,36 @@
 	}
 }
 
-// Watch reads the file of bans every Look until ctx ends.
+// Watch reads the shared files every Look until ctx ends.
 func (d *Desk) Watch(ctx context.Context) {
 	if d.Store == nil {
 		return
 	}
 	t := time.NewTicker(Look)
 	defer t.Stop()
+	marked := false
 	for {
+		d.mu.Lock()
+		d.Load()
+		d.mu.Unlock()
+		if d.Newer != nil {
+			if !marked && d.Ready() {
+				if err := d.Store.MarkReady(d.Self); err != nil {
+					d.Log.Error("not said to be ready; an older version goes on taking clients", "cause", err)
+				}
+				marked = true
+			}
+			if o, ok := d.Store.Ready(); ok && d.Self.Newer(o) {
+				d.Log.Info("a newer version serves; nothing new is taken here", "pid", o.PID)
+				d.Newer()
+				d.Newer = nil
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		d.mu.Lock()
-		d.Load()
-		d.mu.Unlock()
 	}
 }
 
