Test that standby closes a connection kept idle from before the drain

Need: the issue asks that idle client connections be closed by the drain, and no test held it. The test keeps a connection idle, calls standby and reads EOF on it; with the keep-alives switch taken out it fails, as it should.

--- a/cmd/wellgw/main_test.go
+++ b/cmd/wellgw/main_test.go
@@ -542,6 +542,15 @@
 	url := "http://" + clients.Addr().String()
 	healthy(t, url)
 	playback.Eventually(t, "status is yes", func() bool { return dial(t, control, "status") == "YES" })
+	idle, err := net.Dial("tcp4", clients.Addr().String()) // kept idle from before the drain
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	io.WriteString(idle, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	if resp, err := http.ReadResponse(bufio.NewReader(idle), nil); err != nil || resp.Close {
+		t.Fatalf("before the drain: %v", err)
+	}
 	for _, c := range []struct{ line, want string }{
 		{"maint-on nobody", "NO"},
 		{"maint-on w1", "YES"},
@@ -553,6 +562,10 @@
 			t.Errorf("%s: %s, want %s", c.line, got, c.want)
 		}
 	}
+	idle.SetReadDeadline(time.Now().Add(10 * time.Second)) // a bound for a broken test only
+	if n, err := idle.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("an idle connection outlived the drain: %d %v", n, err)
+	}
 	if text, err := os.ReadFile(tmp + "/wellgw-bans-n1"); err != nil || string(text) != "w1\n" {
 		t.Errorf("file of bans: %q %v", text, err)
 	}
