Test a hand-over between two processes on one inherited socket

Need: the issue asks for the hand-over on an inherited listener in a test process, and only its parts were tested. The operators' test now starts a second version on the same descriptor, waits for it to say yes, sees the old one hand over and exit with 0 on SIGTERM, and health stay 200 through the new one.

--- a/cmd/wellgw/main_test.go
+++ b/cmd/wellgw/main_test.go
@@ -518,27 +518,8 @@
 	clients.Close() // the program holds the socket now, as on the platform
 	tmp := t.TempDir()
 	config := file(t, fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:1","discovery":%q,"seed":"1f","settings":%s}`, discovery.Listener.Addr(), settings))
-	cmd := program(t, []string{"EDGE_CONFIG=" + config, "EDGE_CONTROL=127.0.0.1:0", "EDGE_SOCKET_FD=3", "TMPDIR=" + tmp}, "serve")
-	cmd.ExtraFiles = []*os.File{socket}
-	errs, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	socket.Close()
-	var control string
-	log := bufio.NewScanner(errs)
-	for control == "" && log.Scan() {
-		if m := calling.FindStringSubmatch(log.Text()); m != nil {
-			control = m[1]
-		}
-	}
-	go io.Copy(io.Discard, errs)
-	if control == "" {
-		t.Fatal("no call line")
-	}
+	env := []string{"EDGE_CONFIG=" + config, "EDGE_CONTROL=127.0.0.1:0", "EDGE_SOCKET_FD=3", "TMPDIR=" + tmp}
+	cmd, control, handed := onSocket(t, env, socket)
 	url := "http://" + clients.Addr().String()
 	healthy(t, url)
 	playback.Eventually(t, "status is yes", func() bool { return dial(t, control, "status") == "YES" })
@@ -581,8 +562,62 @@
 	if got := dial(t, control, "maint-off w1"); got != "YES" {
 		t.Errorf("maint-off: %s", got)
 	}
+	// A new version on the same socket: once it is ready the old one hands over,
+	// and leaves in good order; the new one serves on.
+	next, nextControl, _ := onSocket(t, env, socket)
+	socket.Close()
+	playback.Eventually(t, "the new version is ready", func() bool { return dial(t, nextControl, "status") == "YES" })
+	select {
+	case <-handed:
+	case <-time.After(20 * time.Second): // a bound for a broken test only
+		t.Fatal("the old version did not hand over")
+	}
 	cmd.Process.Signal(syscall.SIGTERM)
 	if err := cmd.Wait(); err != nil {
-		t.Errorf("exit: %v", err)
+		t.Errorf("exit of the old version: %v", err)
+	}
+	if code := health(url); code != http.StatusOK {
+		t.Errorf("health after the hand-over: %d", code)
+	}
+	next.Process.Signal(syscall.SIGTERM)
+	if err := next.Wait(); err != nil {
+		t.Errorf("exit of the new version: %v", err)
 	}
 }
+
+var handing = regexp.MustCompile(`"message":"a newer version serves`)
+
+// onSocket starts the program on the clients' socket, as descriptor 3, and
+// returns where it takes calls and a channel closed once it has handed over.
+func onSocket(t *testing.T, env []string, socket *os.File) (cmd *exec.Cmd, control string, handed <-chan struct{}) {
+	t.Helper()
+	cmd = program(t, env, "serve")
+	cmd.ExtraFiles = []*os.File{socket}
+	errs, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	log := bufio.NewScanner(errs)
+	for control == "" && log.Scan() {
+		if m := calling.FindStringSubmatch(log.Text()); m != nil {
+			control = m[1]
+		}
+	}
+	if control == "" {
+		t.Fatal("no call line")
+	}
+	done := make(chan struct{})
+	go func() {
+		for log.Scan() {
+			if handing.MatchString(log.Text()) {
+				close(done)
+				break
+			}
+		}
+		io.Copy(io.Discard, errs)
+	}()
+	return cmd, control, done
+}
