Discovery: jittered pauses, and the whole list when a watch is refused

After 48 watches were reset at 2 s only 12 gateways ever held a watch again; the other 68 called again once a second in step (fixed pauses, 0.1 s doubling to 1 s) and knew of the engines only what their start gave them. At fault: Watch.Run in internal/platform/watch.go, pauses in step and no way to learn the list but a watch.

Change: pauses after a failure from cenkalti/backoff (already used by the Consul follower), 0.1 s doubling to 2 s, each drawn within half of its mean; a watch refused before it brought anything is followed by one GET /v1/servers, taken by the roster as any complete list. Nothing is added where the module asks for lists itself.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -117,13 +118,7 @@
 	}))
 	defer discovery.Close()
 	defer discovery.CloseClientConnections()
-	w := NewWatch(discovery.Listener.Addr().String(), false, func(scope ringdale.RosterScope, members []core.Member) {
-		mu.Lock()
-		defer mu.Unlock()
-		for _, m := range members {
-			got = append(got, fmt.Sprint(scope, m.Name, m.Phase))
-		}
-	}, slog.New(slog.DiscardHandler))
+	w := NewWatch(discovery.Listener.Addr().String(), false, told(&mu, &got), slog.New(slog.DiscardHandler))
 	go w.Run(t.Context(), list(41, true, "a active 0"))
 	playback.Eventually(t, "a third watch", func() bool { mu.Lock(); defer mu.Unlock(); return len(asked) >= 3 })
 	mu.Lock()
@@ -137,6 +132,17 @@
 	}
 }
 
+// told returns a roster's receiver that notes each entry in got, as scope, name and phase.
+func told(mu *sync.Mutex, got *[]string) func(ringdale.RosterScope, []core.Member) {
+	return func(scope ringdale.RosterScope, members []core.Member) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, m := range members {
+			*got = append(*got, fmt.Sprint(scope, m.Name, m.Phase))
+		}
+	}
+}
+
 // gateway starts a front on loopback before one reader and one writer.
 func gateway(t *testing.T, reader, writer func(playback.Call) string) (addr string, r, w *playback.Engine, c *core.Core) {
 	addr, r, w, c, _ = gatewayFront(t, reader, writer)
@@ -245,3 +251,27 @@
 		return time.Since(left)
 	})
 }
+
+// An overbooked discovery refuses watches for long: the gateway asks for the whole
+// list instead, and so learns of a drain all the same.
+func TestRefusedWatchAsksForTheList(t *testing.T) {
+	var mu sync.Mutex
+	var got []string
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("watch") != "" {
+			http.Error(w, "overbooked", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, `{"revision":45,"complete":true,"members":[{"id":"a","phase":"leaving"},{"id":"b","phase":"active"}]}`)
+	}))
+	defer discovery.Close()
+	w := NewWatch(discovery.Listener.Addr().String(), false, told(&mu, &got), slog.New(slog.DiscardHandler))
+	go w.Run(t.Context(), list(41, true, "a active 0"))
+	drained := fmt.Sprint(ringdale.RosterChanges, "a", ringdale.PhaseDraining)
+	playback.Eventually(t, "the drain told", func() bool { mu.Lock(); defer mu.Unlock(); return slices.Contains(got, drained) })
+	mu.Lock()
+	defer mu.Unlock()
+	if !slices.Contains(got, fmt.Sprint(ringdale.RosterChanges, "b", ringdale.PhaseOn)) {
+		t.Errorf("told %v, want b as new", got)
+	}
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	jsoniter "github.com/json-iterator/go"
 
 	"wellgw/internal/config"
@@ -22,8 +23,9 @@
 // The watch's margins. A line comes every 2 s at least.
 const (
 	watchSilence = 4500 * time.Millisecond
-	watchPause   = 100 * time.Millisecond
-	watchMost    = time.Second
+	watchPause   = 100 * time.Millisecond // after a watch that brought news
+	watchMost    = 2 * time.Second        // between calls to a discovery that keeps refusing
+	watchSpread  = 0.5                    // each pause is drawn from this part below to above its mean
 	maxList      = 4 << 20
 	keepLeft     = 256 // engines that have left are remembered; more would grow with the days
 )
@@ -175,10 +177,23 @@
 	}
 }
 
+// pauses returns the waits between calls after failures: growing, and drawn at
+// random about their mean. A fleet of gateways started or refused together must
+// not call again together: in step, their calls would keep an overbooked discovery
+// overbooked, and fixed pauses of a second did exactly that.
+func pauses() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval, b.RandomizationFactor = watchPause, watchMost, watchSpread
+	b.Multiplier = 2
+	b.Reset()
+	return b
+}
+
 // Run starts from the list as last held and follows the watch until ctx ends.
 func (w *Watch) Run(ctx context.Context, known config.List) {
 	w.tell(ringdale.RosterCached, w.roster.Apply(known))
-	for pause := watchPause; ctx.Err() == nil; pause = min(2*pause, watchMost) {
+	wait := pauses()
+	for ctx.Err() == nil {
 		if w.wake != nil {
 			select {
 			case <-ctx.Done():
@@ -191,21 +206,61 @@
 			return
 		}
 		w.log.Warn("watch ended", "lines", lines, "cause", err)
+		if lines == 0 && w.wake == nil {
+			// An overbooked discovery refuses watches for long while it still answers
+			// short calls: the whole list holds nothing open.
+			if err := w.list(ctx); err != nil {
+				w.log.Warn("list failed", "cause", err)
+			}
+		}
 		if w.wake != nil {
 			w.tell(ringdale.RosterFailed, nil)
 		}
 		if lines > 0 {
-			pause = watchPause
+			wait.Reset()
 		}
 		select {
 		case <-ctx.Done():
 		case <-w.moved:
-			pause = watchPause
-		case <-time.After(pause):
+			wait.Reset()
+		case <-time.After(wait.NextBackOff()):
 		}
 	}
 }
 
+// list asks once for the whole list and tells what changed.
+func (w *Watch) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchSilence)
+	defer cancel()
+	w.mu.Lock()
+	addr := w.addr
+	w.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/servers", nil)
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("list: status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	var l config.List
+	if err := jsoniter.Unmarshal(body, &l); err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	if changed := w.roster.Apply(l); len(changed) > 0 {
+		w.tell(ringdale.RosterChanges, changed)
+	}
+	return nil
+}
+
 // follow reads one watch to its end and returns how many lists it brought.
 func (w *Watch) follow(ctx context.Context) (lines int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
