Ask the likeliest reader for its queue before a request's first choice

At fault: Router.queue, which beyond ten routers adds what this router's own reads waited beyond the usual; one gateway of 80 samples a reader too seldom.

Change: with CanProbe (limits.probes, pulled reports naming a queue) and more than ten routers, Router.ask probes the reader that would rank first if its report is 300 ms old, and holds the request until it answers (40 ms at most, or the next look if lost); a reader awaited is not asked again. The reported queue (Router.queued) ranks readers and lengthens the wait for a read, but does not count in what turns a request away. A connection opened for a probe is kept 300 ms only.

--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -441,7 +441,7 @@
 			return
 		}
 		for pause := releasePause; ; pause = min(2*pause, releaseWait) {
-			_, _, err := e.exchange(at.Addr, call, releaseWait)
+			_, _, err := e.exchange(at.Addr, call, releaseWait, false)
 			if err == nil || time.Now().Add(pause).After(until) {
 				done(err)
 				return
@@ -459,7 +459,7 @@
 			done(ringdale.StatusUnsent, nil)
 			return
 		}
-		resp, body, err := e.exchange(at.Addr, call, probeWait)
+		resp, body, err := e.exchange(at.Addr, call, probeWait, true)
 		if err != nil {
 			done(ringdale.StatusNoConnect, nil)
 			return
@@ -469,8 +469,9 @@
 	}()
 }
 
-// exchange makes a short call that has no effect worth counting.
-func (e *Engine) exchange(addr string, call Call, wait time.Duration) (*http.Response, []byte, error) {
+// exchange makes a short call that has no effect worth counting. A brief one keeps
+// a connection that it opened for a moment only; see putBrief.
+func (e *Engine) exchange(addr string, call Call, wait time.Duration, brief bool) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	c, err := e.pool.get(ctx, addr)
@@ -492,6 +493,10 @@
 		e.pool.drop(c)
 		return resp, body, err
 	}
-	e.pool.put(c)
+	if brief {
+		e.pool.putBrief(c)
+	} else {
+		e.pool.put(c)
+	}
 	return resp, body, nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -28,6 +28,7 @@
 // The pool's margins.
 const (
 	idlePart    = 0.5                    // of ConnIdle, after which an idle connection is retired
+	briefIdle   = 300 * time.Millisecond // a connection opened for a probe waits so long for a request
 	sweepEvery  = 200 * time.Millisecond // how often idle connections are looked at
 	leastBuffer = 4 << 10
 	connectPart = 0.95 // of the connect time-out, so that ours comes first
@@ -41,10 +42,12 @@
 // conn is one connection to an engine.
 type conn struct {
 	net.Conn
-	in   *bounded
-	r    *bufio.Reader // over in
-	addr string
-	idle time.Time // since when it has been idle
+	in    *bounded
+	r     *bufio.Reader // over in
+	addr  string
+	idle  time.Time // since when it has been idle
+	until time.Time // if set, it is retired once idle past this
+	used  bool      // it has carried an exchange before
 }
 
 // Pool keeps idle connections to engines.
@@ -76,6 +79,9 @@
 // stale tells whether a connection has been idle so long that its engine might
 // close it just as the next request is written, which would end in a reset.
 func (p *Pool) stale(c *conn, now time.Time) bool {
+	if !c.until.IsZero() && now.After(c.until) {
+		return true
+	}
 	return p.opt.ConnIdle > 0 && now.Sub(c.idle) > time.Duration(idlePart*float64(p.opt.ConnIdle))
 }
 
@@ -107,6 +113,7 @@
 		p.idle[addr] = list[:len(list)-1]
 		if !p.stale(c, time.Now()) && quiet(c.Conn) {
 			p.mu.Unlock()
+			c.until = time.Time{} // taken: it lives as any other
 			return c, nil
 		}
 		c.Close()
@@ -158,8 +165,20 @@
 	return false
 }
 
+// putBrief gives back a connection that was opened for a call of no effect, such
+// as a probe: it is kept only briefIdle for the request that the call came before.
+// Among many gateways, every probe's connection kept for long would fill the few
+// that an engine holds. One that had carried work before is kept as usual.
+func (p *Pool) putBrief(c *conn) {
+	if !c.used {
+		c.until = time.Now().Add(briefIdle)
+	}
+	p.put(c)
+}
+
 // put gives back a connection whose answer has been read to its end.
 func (p *Pool) put(c *conn) {
+	c.used = true
 	// More than the answer, such as a second one, would be taken for the next one's. What
 	// has come and is not read yet is looked for when the connection is taken again.
 	if c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"wellgw/ringdale"
@@ -35,10 +36,15 @@
 		ConnIdle      int64 `json:"conn_idle"`
 		ConnTimeout   int64 `json:"connect_timeout"`
 		MaxRetryAfter int64 `json:"max_retry_after"`
+		Probes        bool  `json:"probes"`
 		RetryAfter    bool  `json:"retry_after"`
 		SendCap       int   `json:"send_cap"`
 	} `json:"limits"`
-	Membership     string  `json:"membership_mode"`
+	Membership string `json:"membership_mode"`
+	Report     struct {
+		Columns []string `json:"columns"`
+		Source  string   `json:"source"`
+	} `json:"report"`
 	OverShareWorth float64 `json:"over_share_worth"`
 	Rules          struct {
 		AnswerSlack  int64   `json:"answer_slack"`
@@ -88,6 +94,9 @@
 		MaxRetryAfter: Micros(o.Limits.MaxRetryAfter), MaxAttempts: o.Limits.SendCap,
 		Cold: Micros(o.Rules.Cold), ColdShare: o.Rules.ColdShare, Fall: Micros(o.Rules.Fall),
 		FallMultiple: o.Rules.FallMultiple, PinLimit: Micros(o.Info.PinLimit), Tick: Micros(o.Tick),
+		// A probe is worth its price only where its answer tells a queue.
+		CanProbe: o.Limits.Probes && o.Report.Source == "pull" &&
+			(slices.Contains(o.Report.Columns, "queue") || slices.Contains(o.Report.Columns, "x1")),
 	}
 	for i, c := range o.Classes {
 		effect, known := effects[c.Effect]
--- a/ringdale/api.go
+++ b/ringdale/api.go
@@ -91,6 +91,7 @@
 	CanRetryAfter  bool          // Refuse may advise a wait
 	MaxRetryAfter  time.Duration // longest advice that clients honour
 	MaxAttempts    int           // attempts per request
+	CanProbe       bool          // Probe is allowed, and its report tells a server's queue
 
 	Cold         time.Duration // a started server is warm after this
 	ColdShare    float64       // least share of its capacity at the start
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -82,6 +82,9 @@
 	memoryFull   = 0.95
 	memoryRoomy  = 0.75
 	freshReport  = 1500 * time.Millisecond
+	askMost      = 1                      // readers probed before a request's first choice: the likeliest
+	askFresh     = 300 * time.Millisecond // a report younger than this is not asked anew
+	askWait      = 40 * time.Millisecond  // a probe not answered by then is not waited for
 )
 
 // New returns a router for the settings; all its chance comes from seed. An
@@ -210,7 +213,7 @@
 	}
 	q.match = r.match(q, w)
 	q.todo = max(q.Prompt-q.match, 1)
-	q.ahead = r.queue(w)
+	q.ahead = r.queue(w) + r.queued(w) // not given up early where the report shows a queue
 	q.expect = max(leastExpect, seconds((q.ahead+float64(q.todo)+leastRead)*r.perToken(w.role())))
 	r.send(q, w, reading)
 }
@@ -512,7 +515,12 @@
 		// At a mixed server each running answer waits out the read.
 		return cost * (1 + answerWeight*float64(w.answers*r.set.Routers))
 	}
-	w := r.least(q, capped, cost)
+	if !gated && r.ask(q, capped, cost) { // kept text draws every router's choice alike
+		return nil, 0
+	}
+	w := r.least(q, capped, func(w *worker) float64 {
+		return cost(w) + r.queued(w)*r.perToken(w.role())*r.slow(w)/w.Weight
+	})
 	if w == nil {
 		return nil, 0
 	}
@@ -543,6 +551,61 @@
 	return best
 }
 
+// ask probes the likeliest readers, once a request, where reports are old: among
+// many routers each sees a reader too seldom to know what all have queued there,
+// and where kept text decides, all choose the same reader. The request is held
+// until they answer, or askWait at most: askMost probes a request at most, and a
+// round trip far shorter than any aim.
+func (r *Router) ask(q *request, pool []*worker, cost func(*worker) float64) bool {
+	if !r.set.CanProbe || r.set.Routers < ownEnough || q.asked != nil || len(pool) < 2 {
+		return false
+	}
+	by := func(a, b *worker) int { return cmp.Compare(cost(a), cost(b)) }
+	ranked := slices.SortedFunc(slices.Values(pool), by)
+	q.asked = []*worker{}
+	for _, w := range ranked[:min(askMost, len(ranked))] {
+		if r.now-w.reportAt >= askFresh {
+			if !r.asking(w) {
+				w.askedAt = r.now
+				r.do(Probe{Server: w.Name})
+			}
+			q.asked = append(q.asked, w)
+		}
+	}
+	return len(q.asked) > 0
+}
+
+// queued is how many tokens a fresh report shows waiting beyond this router's own,
+// reads of the usual length. It ranks readers and sets how long a read is waited for,
+// but does not turn requests away: the usual time a token holds the usual wait already.
+func (r *Router) queued(w *worker) float64 {
+	if w.report.Queue == nil || r.now-w.reportAt >= freshReport {
+		return 0
+	}
+	return max(0, *w.report.Queue*max(r.stages[w.role()].read, leastRead)-w.readTokens)
+}
+
+func (r *Router) asking(w *worker) bool { return w.askedAt > w.answeredAt && r.now-w.askedAt < askWait }
+
+// onProbed takes a report and sends on what waited for it alone.
+func (r *Router) onProbed(e ProbeResult) {
+	w := r.workers[e.Server]
+	if w == nil {
+		return
+	}
+	r.noteReport(w, e.Report)
+	w.answeredAt = r.now
+	held := r.held
+	r.held = nil
+	for _, q := range held {
+		if q.phase == waitReader && len(q.asked) > 0 && !slices.ContainsFunc(q.asked, r.asking) {
+			r.toReader(q)
+		} else {
+			r.held = append(r.held, q)
+		}
+	}
+}
+
 // queue is the load before a new read, in tokens.
 func (r *Router) queue(w *worker) float64 {
 	own := w.readTokens + stateWeight*w.stateTokens
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -937,3 +938,82 @@
 		})
 	}
 }
+
+// Among many routers each sees a reader too seldom to know its queue: before a
+// request's first choice the likeliest readers are probed, and the request goes where
+// the reports show the shorter queue. A lost probe delays it by a tick at most, and
+// a reader is probed once however many requests wait for it.
+func TestManyRoutersAskReadersForTheirQueues(t *testing.T) {
+	set := testSettings()
+	set.Routers, set.CanProbe = 80, true
+	servers := []ServerInfo{server("r1", "r", 0), server("r2", "r", 0), server("r3", "r", 0), server("w1", "w", 0)}
+	probes := func(actions []Action) (to []string) {
+		for _, a := range actions {
+			if p, ok := a.(Probe); ok {
+				to = append(to, p.Server)
+			}
+		}
+		return to
+	}
+	// Each reader keeps half of every session's prompt: kept text decides, alike at all.
+	kept := func(servers ...ServerInfo) *Router {
+		r := router(t, set, servers...)
+		for _, s := range servers {
+			for id := range 10 {
+				if s.Kind == "r" {
+					keep(r, s.Name, fmt.Sprint("s", id), 500)
+				}
+			}
+		}
+		return r
+	}
+	r := kept(servers...)
+	first := slices.Clone(r.Handle(time.Second, ask(1, 1000)))
+	if asked := probes(first); len(asked) != askMost || has[Send](first) {
+		t.Fatalf("three readers: probes %v and a send %v, want %d probes and no send", asked, has[Send](first), askMost)
+	}
+	for id := RequestID(2); id < 9; id++ {
+		for _, to := range probes(r.Handle(time.Second, ask(id, 1000))) {
+			if slices.Contains(probes(first), to) {
+				t.Errorf("request %d probed %s again while an answer was awaited", id, to)
+			}
+		}
+	}
+	r = kept(servers[1:]...)
+	asked := probes(r.Handle(time.Second, ask(1, 1000)))
+	long, short := 40.0, 0.0
+	var got []Action
+	for n, to := range asked {
+		queue := &short
+		if n == 0 {
+			queue = &long
+		}
+		got = r.Handle(time.Second+time.Duration(n+1)*ms, ProbeResult{Server: to, Report: &Report{Queue: queue}})
+	}
+	if to := sent(t, got); len(asked) == 0 || to == asked[0] {
+		t.Errorf("sent to %s after a report of a long queue at the first of %v", to, asked)
+	}
+
+	// Without an answer the request goes on at the next tick, by what is known.
+	r = kept(servers...)
+	r.Handle(time.Second, ask(1, 1000))
+	if !has[Send](r.Handle(time.Second+r.tick(), TimerFired{Name: "tick"})) {
+		t.Error("a request that waits for lost probes was not sent at the tick")
+	}
+
+	// Few routers, no probes allowed, or no text that draws all alike: no probe, sent at once.
+	for _, c := range []struct {
+		routers int
+		can     bool
+		text    bool
+	}{{2, true, true}, {80, false, true}, {80, true, false}} {
+		set.Routers, set.CanProbe = c.routers, c.can
+		q := ask(1, 1000)
+		if r = kept(servers...); !c.text {
+			q.Session = ""
+		}
+		if acts := r.Handle(time.Second, q); len(probes(acts)) != 0 || !has[Send](acts) {
+			t.Errorf("%d routers, probes allowed %v, kept text %v: probes %v", c.routers, c.can, c.text, probes(acts))
+		}
+	}
+}
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -42,7 +42,8 @@
 	expect        time.Duration
 	ended         bool // answered, or nobody waits any more
 	cancelled     bool
-	whole         bool // the attempt reads and answers
+	whole         bool      // the attempt reads and answers
+	asked         []*worker // readers probed for it before its first choice
 	risks         []risk
 }
 
@@ -71,6 +72,7 @@
 	sessions, prefixes      map[string]held
 	report                  Report
 	reportAt                Time
+	askedAt, answeredAt     Time    // of the latest probe
 	sentSince               float64 // memory sent since the report
 	fail, pace              float64 // failing part; time per token against peers
 	heard                   Time    // the last sign of life
@@ -163,7 +165,7 @@
 	case Closing:
 		r.onClosing()
 	case ProbeResult:
-		r.noteReport(r.workers[e.Server], e.Report)
+		r.onProbed(e)
 	case TimerFired:
 		r.onTick()
 	}
