Weigh tokens to read four times against tokens queued in the choice of reader

Ruled out: writers (first tokens, memory), connections and errors (none). At fault: the cost in Router.pickReader. A token queued and a token to read weighed alike, so a reader a few thousand tokens less busy, by a report a second old, took sessions from the reader that keeps their text: more to read for all, text driven out, and the queue stays.

--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -20,6 +20,7 @@
 	capMultiple   = 2.0 // a reader may hold this many times its fair share of active requests
 	answerWeight  = 0.3 // part of a read at a mixed server that each answer there is held to lose
 	stateWeight   = 0.2 // a waiting state holds memory and a port but is read already
+	readWeight    = 4.0 // of a token to read against one queued: it delays all later ones and drives out text
 
 	// The table and the plan.
 	horizon    = time.Minute     // most sessions' turns lie closer; older entries are as likely gone as kept
@@ -508,7 +509,8 @@
 		if !gated {
 			m = r.match(q, w)
 		}
-		cost := (r.queue(w) + float64(q.Prompt-m) + leastRead) * r.perToken(w.role()) * r.slow(w) / w.Weight
+		tokens := r.queue(w) + readWeight*float64(q.Prompt-m) + leastRead
+		cost := tokens * r.perToken(w.role()) * r.slow(w) / w.Weight
 		if w.role() == RoleReader { // a reader's state waits for a writer
 			return cost + later
 		}
