Let writers with memory to spare read prompts where readers have a queue

The settings say local_read: a writer that gets a request with no state reads it itself. wire.Options did not read that field and Router.pickReader knew readers and mixed servers only. Ruled out: that writers were the limit (first tokens within 50 ms throughout).

--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -25,6 +25,7 @@
 	Info struct {
 		AimPer1000 []float64 `json:"aim_us_per_1000_prompt_tokens"`
 		Duty       []string  `json:"duty_by_kind"`
+		LocalRead  bool      `json:"local_read"`
 		PinLimit   int64     `json:"pin_limit"`
 		Resume     bool      `json:"resume"`
 		TokenAim   []float64 `json:"token_aim"`
@@ -89,6 +90,7 @@
 func (o *Options) Settings() ringdale.Settings {
 	s := ringdale.Settings{
 		Zone: o.Az, Zones: o.Zones, Routers: o.Balancers,
+		WritersRead:    o.Info.LocalRead,
 		OverShareWorth: o.OverShareWorth, MustSubscribe: o.Membership == "subscribe",
 		CanCancel: o.Limits.Cancelling, CanRetryAfter: o.Limits.RetryAfter,
 		MaxRetryAfter: Micros(o.Limits.MaxRetryAfter), MaxAttempts: o.Limits.SendCap,
--- a/ringdale/api.go
+++ b/ringdale/api.go
@@ -92,6 +92,7 @@
 	MaxRetryAfter  time.Duration // longest advice that clients honour
 	MaxAttempts    int           // attempts per request
 	CanProbe       bool          // Probe is allowed, and its report tells a server's queue
+	WritersRead    bool          // a writer that gets a request with no state reads its prompt itself
 
 	Cold         time.Duration // a started server is warm after this
 	ColdShare    float64       // least share of its capacity at the start
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -1,6 +1,4 @@
-// The interface of this module, its settings, events and actions, is api.go.
-//
-// This file holds every decision. A request goes to the reader whose kept text
+// This file holds every decision; its interface is api.go. A request goes to the reader whose kept text
 // and queue promise the soonest read (gate, cap), then, once read, to the writer
 // in that reader's cell with most free memory. What else stands here guards that
 // path against servers, lists and loads that are not as they should be.
@@ -19,6 +17,7 @@
 	gateThreshold = 0.1 // a best match of no more than this part of the prompt counts as none
 	capMultiple   = 2.0 // a reader may hold this many times its fair share of active requests
 	answerWeight  = 0.3 // part of a read at a mixed server that each answer there is held to lose
+	spareWeight   = 0.5 // of a read at a writer against one at a reader, where nobody waits behind it
 	stateWeight   = 0.2 // a waiting state holds memory and a port but is read already
 	readWeight    = 4.0 // of a token to read against one queued: it delays all later ones and drives out text
 
@@ -171,8 +170,7 @@
 // pool has shrunk or slowed. It could do harm after a trouble has passed: figures fade.
 func (r *Router) crowded(q *request, wait float64) bool {
 	part := crowdedShare + (crowdedMost-crowdedShare)*min(1, q.density/r.topGain)
-	left := q.aim - r.now
-	return wait > part*left.Seconds()
+	return wait > part*(q.aim-r.now).Seconds()
 }
 
 // writerWait is the time that a read state waits for its first token: the usual while
@@ -273,7 +271,7 @@
 func (r *Router) send(q *request, w *worker, p phase) {
 	r.shift(q, p, w)
 	q.attempts++
-	q.whole = p == reading && w.role() == RoleMixed
+	q.whole = p == reading && w.role() != RoleReader
 	q.sentAt, q.cancelled = r.now, false
 	limit := r.patience(q)
 	if r.set.CanCancel { // silence is seen by watch, so that a crowd is not mistaken for it
@@ -504,6 +502,7 @@
 	if len(capped) == 0 {
 		capped = pool
 	}
+	capped = append(capped, r.spareWriters(q)...)
 	cost := func(w *worker) float64 {
 		m := 0
 		if !gated {
@@ -511,8 +510,11 @@
 		}
 		tokens := r.queue(w) + readWeight*float64(q.Prompt-m) + leastRead
 		cost := tokens * r.perToken(w.role()) * r.slow(w) / w.Weight
-		if w.role() == RoleReader { // a reader's state waits for a writer
+		switch w.role() {
+		case RoleReader: // its state waits for a writer
 			return cost + later
+		case RoleWriter:
+			return cost * spareWeight
 		}
 		// At a mixed server each running answer waits out the read.
 		return cost * (1 + answerWeight*float64(w.answers*r.set.Routers))
@@ -540,6 +542,15 @@
 	return w, wait
 }
 
+// spareWriters are those that may read a prompt themselves and have memory to spare. They
+// relieve readers that have a queue. Their running answers wait meanwhile: one read at a time.
+func (r *Router) spareWriters(q *request) []*worker {
+	return slices.DeleteFunc(r.eligible(q, false), func(w *worker) bool {
+		busy := w.reads > 0 || r.fill(w)+r.size(q)/max(w.kind.Memory, 1) > memoryRoomy
+		return !r.set.WritersRead || w.role() != RoleWriter || busy
+	})
+}
+
 // least returns the worker of least cost; ties go by chance of request and seed.
 func (r *Router) least(q *request, pool []*worker, cost func(*worker) float64) *worker {
 	var best *worker
@@ -712,9 +723,8 @@
 	return w.asideFor == 0 || len(w.out) == 0
 }
 
-// judge is fed by every outcome. It guards against servers that fail, reset, refuse
-// connections or stay silent, also towards this router alone. It could do harm when a
-// common cause fails all alike, so it compares with the peers and keeps a floor.
+// judge is fed by every outcome. It guards against servers that fail, reset, refuse or stay
+// silent, also towards this router alone. A common cause fails all alike: see blame and eligible.
 func (r *Router) judge(w *worker, q *request, e Outcome) {
 	if e.Status != StatusTimeout && e.Status != StatusCancelled && e.Status != StatusUnsent {
 		w.heard = r.now
@@ -867,11 +877,10 @@
 
 // ---- cold servers
 
-// coldRoom bounds this router's sends to a cold server within any fall window by
-// what warm peers carried for this router, so that the routers' shares add up to less
-// than the rule's multiple. Where the share is less than one request, chance decides
-// once a window whether this router may send one: first ones from many would push the
-// server over. It could do harm by starving a pool that is cold as a whole.
+// coldRoom bounds this router's sends to a cold server within any fall window by what warm
+// peers carried for it, so that the routers' shares add up to less than the rule's multiple.
+// Where that is less than one request, chance decides once a window whether to send one:
+// first ones from many would push it over. It could starve a pool that is cold as a whole.
 func (r *Router) coldRoom(w *worker, weight float64) bool {
 	for len(w.sends) > 0 && r.now-w.sends[0].at > r.set.Fall { // they are in order of time
 		w.sends = w.sends[1:]
@@ -926,11 +935,10 @@
 	return max(min(best, q.Prompt-1), 0)
 }
 
-// home names two readers at which to expect the text of a session that this router
-// has not seen: the same at every router, by rendezvous hash. A shared beginning has
-// more homes the more requests begin with it; the session picks among them by the
-// plan's weights. It guards against each router learning each text anew, and against a
-// next turn that comes by another. It does harm where a home has just lost its text.
+// home names two readers at which to expect the text of a session that this router has not
+// seen: the same at every router, by rendezvous hash. A shared beginning has more homes the
+// more requests begin with it; the session picks among them by the plan's weights. It does
+// harm where a home has just lost its text.
 func (r *Router) home(q *request, pool []*worker) (home, spare *worker) {
 	text := cmp.Or(q.Prefix, q.Session)
 	if text == "" || len(pool) == 0 {
@@ -965,9 +973,8 @@
 	return home, spare
 }
 
-// plan spreads reads over the cells as their writers can take them, since a read is
-// answered in its cell, but gives no reader more than planExcess of an even share.
-// What a cell reads beyond its writers' share is answered elsewhere.
+// plan spreads reads over the cells as their writers can take them, but gives no reader more
+// than planExcess of an even share. What a cell reads beyond that is answered elsewhere.
 func (r *Router) plan() []*cell {
 	if r.cells != nil {
 		return r.cells
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -987,3 +987,39 @@
 		}
 	}
 }
+
+// Where writers read, one with memory to spare takes a prompt for which every reader has
+// a long queue; nowhere else, and not one that is full or reads already.
+func TestWritersReadWhereReadersHaveAQueue(t *testing.T) {
+	queued, full := 40_000.0, 0.9
+	for _, c := range []struct {
+		name    string
+		allowed bool
+		memory  *float64
+		first   bool // a first such read is out already
+		to      string
+	}{
+		{"allowed", true, nil, false, "w"}, {"not allowed", false, nil, false, "a"},
+		{"no memory to spare", true, &full, false, "a"}, {"reads already", true, nil, true, "a"},
+	} {
+		set := testSettings()
+		set.WritersRead = c.allowed
+		r := router(t, set, server("a", "r", 0), server("w", "w", 0))
+		r.noteReport(r.workers["a"], &Report{WaitingTokens: &queued})
+		if c.memory != nil {
+			r.noteReport(r.workers["w"], &Report{Memory: c.memory})
+		}
+		if c.first {
+			r.Handle(ms, ask(1, 1000))
+		}
+		to := ""
+		for _, a := range r.Handle(ms, ask(2, 1000)) {
+			if s, ok := a.(Send); ok {
+				to = s.Server
+			}
+		}
+		if to != c.to {
+			t.Errorf("%s: sent to %q, want %q", c.name, to, c.to)
+		}
+	}
+}
