Believe load reports by their age, with own sends since and the peers' mean

At fault: Router.queue and Router.fill, which took a report at its word for 1.5 s and then not at all, without what this router had sent since.

Change: a report loses half of its weight each second; the mean of the peers' (for memory: this router's own reckoning) takes its place, and own sends since come on top. ask and queued follow, shorter.

--- a/cmd/wellgwlab/main.go
+++ b/cmd/wellgwlab/main.go
@@ -16,12 +16,13 @@
 	"wellgw/lab"
 	"wellgw/lab/chatrun"
 	"wellgw/lab/consulrun"
+	"wellgw/lab/fleetsim"
 	"wellgw/lab/rolesrun"
 )
 
 // experiments are all that there are.
 func experiments() []lab.Experiment {
-	return []lab.Experiment{consulrun.Experiment(), rolesrun.Experiment(), chatrun.Experiment()}
+	return []lab.Experiment{consulrun.Experiment(), rolesrun.Experiment(), chatrun.Experiment(), fleetsim.Experiment()}
 }
 
 func main() {
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -81,8 +81,7 @@
 	quotaSpan    = 2.0         // seconds of quota that may be saved up
 	memoryFull   = 0.95
 	memoryRoomy  = 0.75
-	freshReport  = 1500 * time.Millisecond
-	askMost      = 1                      // readers probed before a request's first choice: the likeliest
+	reportFade   = time.Second            // in which a report's word loses half of its weight
 	askFresh     = 300 * time.Millisecond // a report younger than this is not asked anew
 	askWait      = 40 * time.Millisecond  // a probe not answered by then is not waited for
 )
@@ -116,9 +115,7 @@
 		w.forget()
 		w.fail, w.pace, w.asideFor, w.asideTill = 0, 1, 0, 0
 	}
-	if s.Weight <= 0 {
-		s.Weight = 1
-	}
+	s.Weight = cmp.Or(max(s.Weight, 0), 1)
 	w.ServerInfo, w.kind = s, r.kinds[s.Kind]
 	w.usable = s.Phase == PhaseOn && w.role() != RoleNone && slices.Contains(r.set.Zones, s.Zone)
 }
@@ -258,6 +255,7 @@
 	if q.phase == reading {
 		q.at.reads += sign
 		q.at.readTokens += n * float64(q.todo)
+		q.at.readSince += max(n, 0) * float64(q.todo)
 	}
 	if q.at.role() != RoleReader {
 		q.at.answers += sign
@@ -327,9 +325,7 @@
 }
 
 func (r *Router) sample(usual *float64, v float64) {
-	if *usual == 0 {
-		*usual = v
-	}
+	*usual = cmp.Or(*usual, v)
 	*usual += (min(v, sampleMost**usual) - *usual) * usualStep // one slow server is not the pool
 }
 
@@ -564,38 +560,33 @@
 	return best
 }
 
-// ask probes the likeliest readers, once a request, where reports are old: among
-// many routers each sees a reader too seldom to know what all have queued there,
-// and where kept text decides, all choose the same reader. The request is held
-// until they answer, or askWait at most: askMost probes a request at most, and a
-// round trip far shorter than any aim.
+// ask probes the likeliest reader, once a request, where its report is old: among many
+// routers each sees a reader too seldom to know its queue, and kept text draws all to the
+// same. The request is held until it answers, or askWait at most, far shorter than any aim.
 func (r *Router) ask(q *request, pool []*worker, cost func(*worker) float64) bool {
 	if !r.set.CanProbe || r.set.Routers < ownEnough || q.asked != nil || len(pool) < 2 {
 		return false
 	}
-	by := func(a, b *worker) int { return cmp.Compare(cost(a), cost(b)) }
-	ranked := slices.SortedFunc(slices.Values(pool), by)
-	q.asked = []*worker{}
-	for _, w := range ranked[:min(askMost, len(ranked))] {
-		if r.now-w.reportAt >= askFresh {
-			if !r.asking(w) {
-				w.askedAt = r.now
-				r.do(Probe{Server: w.Name})
-			}
-			q.asked = append(q.asked, w)
-		}
+	w := slices.MinFunc(pool, func(a, b *worker) int { return cmp.Compare(cost(a), cost(b)) })
+	q.asked = []*worker{w}
+	if r.now-w.reportAt < askFresh {
+		return false
+	}
+	if !r.asking(w) {
+		w.askedAt = r.now
+		r.do(Probe{Server: w.Name})
 	}
-	return len(q.asked) > 0
+	return true
 }
 
-// queued is how many tokens a fresh report shows waiting beyond this router's own,
-// reads of the usual length. It ranks readers and sets how long a read is waited for,
-// but does not turn requests away: the usual time a token holds the usual wait already.
+// queued is how many tokens a report shows waiting beyond this router's own, reads of the
+// usual length. It ranks readers and sets how long a read is waited for, but turns nothing
+// away: the usual time a token holds the usual wait already.
 func (r *Router) queued(w *worker) float64 {
-	if w.report.Queue == nil || r.now-w.reportAt >= freshReport {
+	if w.report.Queue == nil {
 		return 0
 	}
-	return max(0, *w.report.Queue*max(r.stages[w.role()].read, leastRead)-w.readTokens)
+	return max(0, *w.report.Queue*max(r.stages[w.role()].read, leastRead)*r.fresh(w)-w.readTokens)
 }
 
 func (r *Router) asking(w *worker) bool { return w.askedAt > w.answeredAt && r.now-w.askedAt < askWait }
@@ -619,11 +610,13 @@
 	}
 }
 
-// queue is the load before a new read, in tokens.
+// queue is the load before a new read, in tokens: this router's own or, if more, what was
+// reported and sent since. As a report ages, the peers' mean takes the place of what it said.
 func (r *Router) queue(w *worker) float64 {
 	own := w.readTokens + stateWeight*w.stateTokens
-	if w.report.WaitingTokens != nil && r.now-w.reportAt < freshReport {
-		return max(own, *w.report.WaitingTokens)
+	if w.report.WaitingTokens != nil {
+		usual := r.survey(w.role()).waiting
+		return max(own, usual+(*w.report.WaitingTokens-usual)*r.fresh(w)+w.readSince)
 	}
 	if r.set.Routers < ownEnough { // own load is a good part of all, and newer
 		return own
@@ -631,6 +624,11 @@
 	return own + max(0, r.behind(w))
 }
 
+// fresh is how far a server's report is still believed, from 1 to 0.
+func (r *Router) fresh(w *worker) float64 {
+	return math.Exp2(-(r.now - w.reportAt).Seconds() / reportFade.Seconds())
+}
+
 // pickWriter takes the writer with most free memory in the reader's cell. It
 // leaves the cell only when nobody there may be sent to, or all are full while
 // another cell has room; mixed servers answer others' reads only when no writer can.
@@ -682,10 +680,11 @@
 // fill guesses how much of a server's memory is taken, by its report and own work.
 func (r *Router) fill(w *worker) float64 {
 	room := max(w.kind.Memory, 1)
-	if w.report.Memory != nil && r.now-w.reportAt < freshReport {
-		return *w.report.Memory + w.sentSince/room
+	own := w.memory * float64(r.set.Routers) / room
+	if w.report.Memory == nil {
+		return own
 	}
-	return w.memory * float64(r.set.Routers) / room
+	return own + (*w.report.Memory+w.sentSince/room-own)*r.fresh(w)
 }
 
 // eligible lists the servers that the guards admit for a read or an answer.
@@ -793,7 +792,11 @@
 		}
 		fail, age, lag = append(fail, w.fail), append(age, since), append(lag, r.lag(w))
 		pace = append(pace, r.faded(w))
+		if w.report.WaitingTokens != nil {
+			v.waiting += *w.report.WaitingTokens * r.fresh(w)
+		}
 	}
+	v.waiting /= float64(max(v.n, 1))
 	v.pace, v.age, v.lag = median(pace, 1), median(age, 0), median(lag, 1)
 	if slices.Sort(fail); len(fail) > 0 {
 		v.fail = fail[len(fail)/4]
@@ -1013,6 +1016,6 @@
 
 func (r *Router) noteReport(w *worker, rep *Report) {
 	if w != nil && rep != nil {
-		w.report, w.reportAt, w.sentSince = *rep, r.now, 0
+		w.report, w.reportAt, w.sentSince, w.readSince = *rep, r.now, 0, 0
 	}
 }
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -957,8 +957,8 @@
 	r := router(t, set, servers...)
 	first := slices.Clone(r.Handle(time.Second, ask(1, 1000)))
 	asked := probes(first)
-	if len(asked) != askMost || has[Send](first) {
-		t.Fatalf("probes %v and a send %v, want %d probes and no send", asked, has[Send](first), askMost)
+	if len(asked) != 1 || has[Send](first) {
+		t.Fatalf("probes %v and a send %v, want %d probes and no send", asked, has[Send](first), 1)
 	}
 	if again := probes(r.Handle(time.Second, ask(2, 1000))); slices.Contains(again, asked[0]) {
 		t.Errorf("%s was probed again while its answer was awaited", asked[0])
@@ -1023,3 +1023,33 @@
 		}
 	}
 }
+
+// A report is believed by its age, the peers' mean in its place as it ages, and what this
+// router has sent since comes on top; before, an old one counted in full for 1.5 s, then not
+// at all, and a queue of 40,000 tokens was one of none a moment later.
+func TestReportsAreBelievedByAge(t *testing.T) {
+	long, short := 40_000.0, 0.0
+	r := router(t, testSettings(), server("a", "r", 0), server("b", "r", 0), server("w", "w", 0))
+	a, b := r.workers["a"], r.workers["b"]
+	r.noteReport(a, &Report{WaitingTokens: &long})
+	r.noteReport(b, &Report{WaitingTokens: &short})
+	last := r.queue(a)
+	if last != long || r.queue(b) != 0 {
+		t.Fatalf("fresh reports of 40000 and 0 tell queues of %.0f and %.0f", last, r.queue(b))
+	}
+	sent(t, r.Handle(0, ask(1, 5000))) // to b
+	if got, todo := r.queue(b), float64(r.reqs[1].todo); got != todo || todo == 0 {
+		t.Errorf("%.0f tokens sent since a report of none: a queue of %.0f", todo, got)
+	}
+	for at := Time(100 * ms); at <= 10*time.Second; at += 100 * ms {
+		r.Handle(at, TimerFired{Name: "tick"})
+		now := r.queue(a)
+		if now >= last || last-now > long/5 {
+			t.Fatalf("at %v the queue told by one report went from %.0f to %.0f", at, last, now)
+		}
+		last = now
+	}
+	if last > 100 {
+		t.Errorf("a report 10 s old still tells a queue of %.0f", last)
+	}
+}
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -73,7 +73,7 @@
 	report                  Report
 	reportAt                Time
 	askedAt, answeredAt     Time    // of the latest probe
-	sentSince               float64 // memory sent since the report
+	sentSince, readSince    float64 // memory, and tokens to read, sent since the report
 	fail, pace              float64 // failing part; time per token against peers
 	heard                   Time    // the last sign of life
 	paceAt, asideTill       Time
@@ -103,6 +103,7 @@
 type survey struct {
 	n, warm              int
 	pace, fail, age, lag float64 // fail of the better quarter, else the median
+	waiting              float64 // tokens that reports show, the mean
 }
 
 // cell is a cell's part in the plan, in writers' weight.
