Learn what a reported token stands for; memory short counts by the wait seen

Reports count whole prompts and are old, so a queue taken at its word was four times too long: sessions left the reader that kept their text, and requests were refused that could have been in time. At fault: the queue in Router.queue, and pickReader, where a guess at memory alone refused.

--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -17,7 +17,7 @@
 	gateThreshold = 0.1 // a best match of no more than this part of the prompt counts as none
 	capMultiple   = 2.0 // a reader may hold this many times its fair share of active requests
 	answerWeight  = 0.3 // part of a read at a mixed server that each answer there is held to lose
-	spareWeight   = 0.5 // of a read at a writer against one at a reader, where nobody waits behind it
+	spareWeight   = 0.7 // of a read at a writer against one at a reader, where nobody waits behind it
 	stateWeight   = 0.2 // a waiting state holds memory and a port but is read already
 	readWeight    = 4.0 // of a token to read against one queued: it delays all later ones and drives out text
 
@@ -79,6 +79,7 @@
 	crowdedMost  = 0.7         // and for work of the highest; estimates are off by about a third
 	quotaSlack   = 1.2         // a router's share of a quota is uneven
 	quotaSpan    = 2.0         // seconds of quota that may be saved up
+	shortWeight  = 4.0         // times that the wait for a writer counts anew where memory seems short
 	memoryFull   = 0.95
 	memoryRoomy  = 0.75
 	reportFade   = time.Second            // in which a report's word loses half of its weight
@@ -163,8 +164,7 @@
 	return 1
 }
 
-// crowded refuses early what would come too late to be worth its work; also after a
-// pool has shrunk or slowed. It could do harm after a trouble has passed: figures fade.
+// crowded refuses early what would come too late to be worth its work.
 func (r *Router) crowded(q *request, wait float64) bool {
 	part := crowdedShare + (crowdedMost-crowdedShare)*min(1, q.density/r.topGain)
 	return wait > part*(q.aim-r.now).Seconds()
@@ -209,6 +209,7 @@
 	}
 	q.match = r.match(q, w)
 	q.todo = max(q.Prompt-q.match, 1)
+	q.shown = r.reported(w)
 	q.ahead = r.queue(w) + r.queued(w) // not given up early where the report shows a queue
 	q.expect = max(leastExpect, seconds((q.ahead+float64(q.todo)+leastRead)*r.perToken(w.role())))
 	r.send(q, w, reading)
@@ -225,8 +226,7 @@
 	r.send(q, w, writing)
 }
 
-// hold keeps a request that no server may take for a look at every tick, a read
-// state well inside the pin limit, then gives it up.
+// hold keeps a request for a look at every tick, a read state well inside the pin limit.
 func (r *Router) hold(q *request, p phase) {
 	limit := time.Duration(pinPart * float64(r.set.PinLimit))
 	if p == waitReader {
@@ -313,7 +313,7 @@
 	w.heard, w.passed = r.now, max(w.passed, q.sentAt)
 	q.cancelled = false
 	if q.phase == reading {
-		r.noteRead(w, q.ahead+float64(q.todo), e.Latency)
+		r.noteRead(w, q, float64(q.todo), e.Latency)
 	} else {
 		r.sample(&r.stages[w.role()].first, e.Latency.Seconds())
 		r.stages[w.role()].firstAt = r.now
@@ -528,11 +528,11 @@
 	if w.reads == 0 && w.role() == RoleReader { // an idle reader is tried: stale figures correct themselves
 		wait = later
 	}
-	if o := w.oldest(); o != nil { // first come, first read: the oldest tells what the wait is at least
-		wait = max(wait, (r.now - o.sentAt).Seconds())
-	}
-	full := w.role() == RoleMixed && r.fill(w)+r.size(q)/max(w.kind.Memory, 1) > 1
-	if full || w.role() == RoleReader && r.room() < r.size(q) {
+	wait = max(wait, r.age(w)) // first come, first read: the oldest tells what the wait is at least
+	switch {
+	case w.role() == RoleReader && r.room() < r.size(q): // by a guess: the wait seen tells how much it matters
+		wait += shortWeight * later
+	case w.role() == RoleMixed && r.fill(w)+r.size(q)/max(w.kind.Memory, 1) > 1:
 		wait = max(wait, q.class.Aim.Seconds())
 	}
 	return w, wait
@@ -560,9 +560,8 @@
 	return best
 }
 
-// ask probes the likeliest reader, once a request, where its report is old: among many
-// routers each sees a reader too seldom to know its queue, and kept text draws all to the
-// same. The request is held until it answers, or askWait at most, far shorter than any aim.
+// ask probes the likeliest reader, once a request, where its report is old: among many routers
+// each sees it too seldom to know its queue. The request is held until it answers, or askWait.
 func (r *Router) ask(q *request, pool []*worker, cost func(*worker) float64) bool {
 	if !r.set.CanProbe || r.set.Routers < ownEnough || q.asked != nil || len(pool) < 2 {
 		return false
@@ -579,9 +578,8 @@
 	return true
 }
 
-// queued is how many tokens a report shows waiting beyond this router's own, reads of the
-// usual length. It ranks readers and sets how long a read is waited for, but turns nothing
-// away: the usual time a token holds the usual wait already.
+// queued is how many tokens a reported queue holds beyond this router's own. It ranks readers
+// and sets how long a read is waited for, but turns nothing away: perToken holds it already.
 func (r *Router) queued(w *worker) float64 {
 	if w.report.Queue == nil {
 		return 0
@@ -615,8 +613,7 @@
 func (r *Router) queue(w *worker) float64 {
 	own := w.readTokens + stateWeight*w.stateTokens
 	if w.report.WaitingTokens != nil {
-		usual := r.survey(w.role()).waiting
-		return max(own, usual+(*w.report.WaitingTokens-usual)*r.fresh(w)+w.readSince)
+		return max(own, r.stages[w.role()].reads.worth()*r.reported(w)+w.readSince)
 	}
 	if r.set.Routers < ownEnough { // own load is a good part of all, and newer
 		return own
@@ -624,14 +621,22 @@
 	return own + max(0, r.behind(w))
 }
 
+// reported is how many tokens a report shows waiting, as far as it is still believed.
+func (r *Router) reported(w *worker) float64 {
+	if w.report.WaitingTokens == nil {
+		return 0
+	}
+	usual := r.survey(w.role()).waiting
+	return usual + (*w.report.WaitingTokens-usual)*r.fresh(w)
+}
+
 // fresh is how far a server's report is still believed, from 1 to 0.
 func (r *Router) fresh(w *worker) float64 {
 	return math.Exp2(-(r.now - w.reportAt).Seconds() / reportFade.Seconds())
 }
 
-// pickWriter takes the writer with most free memory in the reader's cell. It
-// leaves the cell only when nobody there may be sent to, or all are full while
-// another cell has room; mixed servers answer others' reads only when no writer can.
+// pickWriter takes the writer with most free memory in the reader's cell. It leaves the cell
+// only when nobody there may be sent to, or all are full while another cell has room.
 func (r *Router) pickWriter(q *request) *worker {
 	var near, far, mixed []*worker
 	cell := r.answerCell(q)
@@ -737,7 +742,7 @@
 	case StatusRead:
 		w.passed = max(w.passed, q.sentAt)
 		r.blame(w, 0, 1)
-		r.noteRead(w, q.ahead+float64(q.Prompt-e.Kept), e.Latency)
+		r.noteRead(w, q, float64(q.Prompt-e.Kept), e.Latency)
 		r.carry(w, r.weights[q.Class])
 	case StatusServed:
 		r.blame(w, 0, 1)
@@ -786,11 +791,7 @@
 		if !r.cold(w) {
 			v.warm++
 		}
-		since := 0.0
-		if q := w.oldest(); q != nil {
-			since = (r.now - q.sentAt).Seconds()
-		}
-		fail, age, lag = append(fail, w.fail), append(age, since), append(lag, r.lag(w))
+		fail, age, lag = append(fail, w.fail), append(age, r.age(w)), append(lag, r.lag(w))
 		pace = append(pace, r.faded(w))
 		if w.report.WaitingTokens != nil {
 			v.waiting += *w.report.WaitingTokens * r.fresh(w)
@@ -805,9 +806,10 @@
 }
 
 // noteRead takes one sample of the time that a server needs for a read.
-func (r *Router) noteRead(w *worker, tokens float64, took time.Duration) {
+func (r *Router) noteRead(w *worker, q *request, toRead float64, took time.Duration) {
 	st := &r.stages[w.role()]
-	tokens += leastRead
+	tokens := q.ahead + toRead + leastRead
+	st.reads.add(q.shown, toRead+leastRead, took.Seconds())
 	behind := took.Seconds()/r.perToken(w.role()) - tokens
 	w.behind, w.behindAt = r.behind(w)+(behind-r.behind(w))*behindStep, r.now
 	r.notePace(w, took.Seconds()/tokens/r.perToken(w.role()))
@@ -856,9 +858,8 @@
 	return min(s, slowMost)
 }
 
-// watch withdraws attempts that are overdue while the peers' are not, or that later
-// ones have passed: they hang. A server not heard of since is blamed for silence; one
-// that answers others is only busy. It should also catch lost messages and cut links.
+// watch withdraws attempts that are overdue while the peers' are not, or that later ones have
+// passed: they hang. A server not heard of since is blamed for silence; else it is only busy.
 func (r *Router) watch(role Role) {
 	usual := max(r.survey(role).lag, 1)
 	for w := range r.all(role) {
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -38,6 +38,7 @@
 	sentAt, since Time    // when the attempt left; when the phase began
 	todo          int     // tokens the reader is expected to read
 	ahead         float64 // tokens queued there before it
+	shown         float64 // tokens that its report showed waiting
 	match         int     // tokens expected kept there
 	expect        time.Duration
 	ended         bool // answered, or nobody waits any more
@@ -97,6 +98,38 @@
 	carried     float64 // weight done by warm servers, fading
 	at, firstAt Time
 	peak        float64 // best rate per warm server
+	reads       shown
+}
+
+// shown holds reads by the tokens that the report had shown and those that were to be
+// read, as sums of products with the time that the read took; old ones fade.
+type shown struct{ n, aa, ab, bb, at, bt float64 }
+
+func (f *shown) add(reported, toRead, took float64) {
+	const keep = 0.99
+	if reported <= 0 {
+		return
+	}
+	for _, x := range []struct {
+		sum *float64
+		v   float64
+	}{
+		{&f.n, 1}, {&f.aa, reported * reported}, {&f.ab, reported * toRead}, {&f.bb, toRead * toRead},
+		{&f.at, reported * took}, {&f.bt, toRead * took},
+	} {
+		*x.sum = *x.sum*keep + x.v
+	}
+}
+
+// worth is the time that a reported token stands for against one to be read, by least
+// squares: what deployments count as waiting differs, as do the reports' ages.
+func (f *shown) worth() float64 {
+	const enough, least = 20, 0.1
+	token := f.aa*f.bt - f.ab*f.at
+	if f.n < enough || token <= 0 {
+		return 1
+	}
+	return min(1, max(least, (f.bb*f.at-f.ab*f.bt)/token))
 }
 
 // survey is one look at the servers of a role, good for one event.
@@ -232,6 +265,14 @@
 	return 0
 }
 
+// age is how many seconds a server's oldest attempt has been out.
+func (r *Router) age(w *worker) float64 {
+	if q := w.oldest(); q != nil {
+		return (r.now - q.sentAt).Seconds()
+	}
+	return 0
+}
+
 func newRouter(set Settings, seed uint64) (*Router, error) {
 	r := &Router{
 		set: set, seed: seed, classes: map[string]*Class{}, kinds: map[string]*Kind{},
