--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -134,7 +134,7 @@
 		r.giveUp(q, 0)
 		return
 	}
-	q.aim = min(r.now+class.Aim+time.Duration(e.Prompt)*class.AimPerToken, q.deadline)
+	q.aim = min(r.now+class.aim(e.Prompt), q.deadline)
 	share := r.overShare(e.Tenant)
 	if share == 0 { // worth nothing: come back when the quota allows one more
 		t := r.quotas[e.Tenant]
@@ -164,22 +164,26 @@
 	return 1
 }
 
-// crowded refuses early what would come too late to be worth its work.
+// crowded refuses early what would come too late, or make work of more worth come too late.
 func (r *Router) crowded(q *request, wait float64) bool {
 	part := crowdedShare + (crowdedMost-crowdedShare)*min(1, q.density/r.topGain)
-	return wait > part*(q.aim-r.now).Seconds()
+	left := q.aim - r.now
+	for i := range r.set.Classes {
+		if c := &r.set.Classes[i]; c.Gain > q.density {
+			left = min(left, c.aim(q.Prompt))
+		}
+	}
+	return wait > part*left.Seconds()
 }
 
-// writerWait is the time that a read state waits for its first token: the usual while
-// fresh, or what a state has waited at half of the writers; a few stuck ones don't count.
+// writerWait is the usual wait for a first token while fresh, or that at half of the writers now.
 func (r *Router) writerWait() float64 {
 	st := &r.stages[RoleWriter]
 	usual := st.first * math.Exp2(-(r.now-st.firstAt).Seconds()/firstFade.Seconds())
 	return max(usual, r.survey(RoleWriter).age)
 }
 
-// room is how many tokens the writers are believed to have free, once the reads
-// now under way have come to them.
+// room is how many tokens the writers are believed to have free for what is not yet being read.
 func (r *Router) room() float64 {
 	free := 0.0
 	for _, w := range r.order {
@@ -473,8 +477,7 @@
 
 // ---- choosing
 
-// pickReader is the design's choice: held prefix against queued load behind the
-// gate and the cap, in tokens, times the pace where a server is clearly slow.
+// pickReader is the design's choice: held prefix against queued load behind gate and cap.
 func (r *Router) pickReader(q *request) (*worker, float64) {
 	later := r.writerWait()
 	pool := r.eligible(q, true)
@@ -661,8 +664,7 @@
 	return n
 }
 
-// answerCell is the reader's cell, but for the part of its reads that the plan
-// holds to be too much for its writers: that goes where readers are few.
+// answerCell is the reader's cell but for what is too much for its writers by the plan.
 func (r *Router) answerCell(q *request) int {
 	plan := r.plan()
 	c := cellOf(plan, q.holder.Cell)
@@ -823,8 +825,7 @@
 	return w.behind * math.Exp2(-(r.now-w.behindAt).Seconds()/behindFade.Seconds())
 }
 
-// perToken is the usual time for a token at a role's servers, over all reads
-// alike; an untried role counts as quick as the other one that reads.
+// perToken is the usual time for a token; an untried role counts as quick as the other.
 func (r *Router) perToken(role Role) float64 {
 	for _, st := range []*stage{&r.stages[role], &r.stages[RoleReader], &r.stages[RoleMixed]} {
 		if st.read > 0 {
@@ -845,8 +846,7 @@
 	return 1 + (w.pace-1)*math.Exp2(-(r.now-w.paceAt).Seconds()/paceFade.Seconds())
 }
 
-// slow is how many times slower than its peers a server clearly is, 1 if it is
-// not clear. An attempt long overdue speaks before its time-out does.
+// slow is how many times slower than its peers a server is, 1 if it is not clear.
 func (r *Router) slow(w *worker) float64 {
 	s := 1.0
 	if p := r.faded(w) / max(r.survey(w.role()).pace, 0.1); p > slowBand {
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -1079,3 +1079,22 @@
 		t.Errorf("a report 10 s old still tells a queue of %.0f", last)
 	}
 }
+
+// Under one wait for all, work of less worth is turned away before it makes work of more
+// worth late, though its own aim is far; with no worthier work about it is not.
+func TestWorkOfLessWorthGivesWay(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		gain    float64 // of the class with the near aim
+		refused bool
+	}{{"worthier", 3, true}, {"worth less", 1, false}} {
+		set := testSettings()
+		set.Classes = []Class{{Name: "near", Aim: time.Second, Gain: c.gain}, {Name: "c", Aim: 4 * time.Second, Gain: 2}}
+		r := router(t, set, server("a", "r", 0), server("w", "w", 0))
+		r.stages[RoleWriter].first = 1.5 // every state waits so long for its writer
+		r.stages[RoleWriter].firstAt = 0
+		if a := r.Handle(ms, ask(1, 500)); has[Refuse](a) != c.refused {
+			t.Errorf("%s: %v", c.name, a)
+		}
+	}
+}
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -67,6 +67,7 @@
 	usable bool // on the roster, with a known kind and zone
 	// own work there
 	reads, states, answers  int
+	missed                  int // reads in a row that found far less kept than the table says
 	readTokens, stateTokens float64
 	memory                  float64
 	out                     []*request // without a first token, oldest first
@@ -265,6 +266,9 @@
 	return 0
 }
 
+// aim is when the first token is wanted after a prompt of so many tokens.
+func (c *Class) aim(prompt int) time.Duration { return c.Aim + time.Duration(prompt)*c.AimPerToken }
+
 // age is how many seconds a server's oldest attempt has been out.
 func (r *Router) age(w *worker) float64 {
 	if q := w.oldest(); q != nil {
