Decide who is in a tier of gateways: suspicions, one-sided cuts, minorities, epochs

Need: every choice of several gateways that is to add up stands on who is there (issue of membership); today a gateway counts the others through Consul alone.

Change: decide/membership, pure: SWIM with Lifeguard's distrust of a slow self; a suspicion that runs from the unanswered probe wherever it is held; a pause of one's own moves all deadlines; sharing that errs to more; minorities that forget nobody; views with an epoch and a digest that merge; namesakes of which one stays.

--- /dev/null
+++ b/decide/membership/model_test.go
@@ -0,0 +1,90 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Three gateways that agree; then, at every point of the next while, one message is lost,
+// doubled or comes late, with and without a restart at every point. Each world is played
+// to its end, with what must hold:
+//   - whoever runs is dead to nobody (no silence here lasts as long as a death takes);
+//   - no incarnation that a gateway holds of another goes back;
+//   - within 5 s of the last fault all hold one view.
+func TestSmallWorlds(t *testing.T) {
+	const (
+		settled = 3 * time.Second
+		while   = 500 * ms
+	)
+	base := func() *tier {
+		w := newTier(1, 3)
+		w.run(settled)
+		if err := w.agree(); err != nil {
+			t.Fatalf("before any fault: %v", err)
+		}
+		return w
+	}
+	plain := base()
+	before := plain.sent
+	plain.run(settled + while)
+	messages := plain.sent - before
+	worlds, states := 0, 0
+	for restart := -1; restart < 8; restart++ {
+		for _, fault := range []string{"lost", "doubled", "late"} {
+			for at := 0; at < messages; at++ {
+				w := base()
+				w.tamper(before+at+1, fault)
+				seen := map[string]uint64{}
+				again := settled + time.Duration(restart)*while/8
+				for end := settled + while + 5*time.Second; w.now < end; {
+					w.run(w.now + 50*ms)
+					if restart >= 0 && w.now >= again && w.nodes["g001"].life == 1 {
+						w.start("g001", 2)
+					}
+					states++
+					for _, id := range w.names {
+						for _, x := range w.nodes[id].order {
+							key := fmt.Sprint(id, w.nodes[id].life, x.ID)
+							if x.Incarnation < seen[key] {
+								t.Fatalf("message %d %s, restart %d: %s takes %s back to incarnation %d", at, fault, restart, id, x.ID, x.Incarnation)
+							}
+							seen[key] = x.Incarnation
+						}
+					}
+					if bad := w.falsely(); len(bad) > 0 {
+						t.Fatalf("message %d %s, restart %d: dead falsely: %v", at, fault, restart, bad)
+					}
+				}
+				if err := w.agree(); err != nil {
+					t.Fatalf("message %d %s, restart %d: %v", at, fault, restart, err)
+				}
+				worlds++
+			}
+		}
+	}
+	t.Logf("%d worlds, %d states looked at, %d messages each", worlds, states, messages)
+	if worlds < 1000 {
+		t.Errorf("only %d worlds", worlds)
+	}
+}
+
+// tamper has the n-th message sent lost, doubled or held back.
+func (t *tier) tamper(n int, how string) {
+	done := false
+	t.fails = func(from, to string) bool {
+		if t.sent != n || done {
+			return false
+		}
+		done = true
+		switch how {
+		case "lost":
+			return true
+		case "late":
+			t.late = 700 * ms
+		case "doubled":
+			t.twice = true
+		}
+		return false
+	}
+}
--- /dev/null
+++ b/decide/membership/view.go
@@ -0,0 +1,124 @@
+package membership
+
+import "time"
+
+// Gateway is a member as a view shows it.
+type Gateway struct {
+	ID, Addr    string
+	Incarnation uint64
+	Status      Status
+	Since       Time          // of its status
+	Heard       Time          // the last message from itself
+	RTT         time.Duration // of the latest ping that it answered directly
+	OneWay      bool          // it is heard, and others reach it, but our own pings are not answered
+	Steady      bool          // it has not died and come back again and again of late
+	Accusers    int           // of a suspect: how many say so
+	Due         time.Duration // of a suspect: until it counts as dead
+}
+
+// View is who is there, by one gateway's lights.
+type View struct {
+	Epoch    uint64 // grows with every change; with Digest it tells views apart
+	Digest   uint64 // the same for the same gateways with the same standing
+	Self     Update
+	Others   []Gateway // by name
+	Sharing  int       // gateways that may use the engines now, this one among them
+	Minority bool      // those in reach are not more than half of all that may be there
+	Silenced bool      // another process goes by this name and stays
+	Health   int       // how far this gateway distrusts itself, 0 for not at all
+	Stats    Stats
+}
+
+// View returns the present view.
+func (m *Machine) View() View {
+	v := View{
+		Epoch: m.epoch, Digest: m.digest, Self: m.self, Sharing: m.Sharing(), Minority: m.Minority(),
+		Silenced: m.foreign, Health: m.health, Stats: m.stats,
+	}
+	for _, x := range m.order {
+		g := Gateway{
+			ID: x.ID, Addr: x.Addr, Incarnation: x.Incarnation, Status: x.Status, Since: x.since, Heard: x.heard,
+			RTT: x.rtt, Steady: m.flaps(x) < flapBound, Accusers: len(x.accusers),
+			OneWay: x.Status < Dead && x.seen && !x.direct && m.now-x.reached > m.cfg.DeadAfter,
+		}
+		if x.Status == Suspect {
+			g.Due = max(0, x.dueAt-m.now)
+		}
+		v.Others = append(v.Others, g)
+	}
+	return v
+}
+
+// Sharing is how many gateways may use the engines now. It errs to more: a suspect counts,
+// one that died counts for a while, since its engines' work may go on and so may it, and to
+// a minority every one that did not say it left counts, as the rest may be well together.
+func (m *Machine) Sharing() int {
+	n, minority := 1, m.Minority()
+	for _, x := range m.order {
+		if x.Status < Dead || x.Status == Dead && (minority || m.now-x.since < m.cfg.Hold) {
+			n++
+		}
+	}
+	if minority {
+		n = max(n, m.cfg.Expect)
+	}
+	return n
+}
+
+// Minority tells whether those alive are not more than half of all that may be there: two
+// halves are a minority each. Before a gateway has found as many as the operator expects
+// it does not know better.
+func (m *Machine) Minority() bool {
+	alive, all := 1, 1
+	for _, x := range m.order {
+		switch x.Status {
+		case Alive, Leaving:
+			alive, all = alive+1, all+1
+		case Suspect, Dead:
+			all++
+		}
+	}
+	return 2*alive <= max(all, m.cfg.Expect)
+}
+
+// sum is a digest of who stands how. It leaves out suspicions, which come and go, and those
+// who have left, whom some forget before others.
+func (m *Machine) sum() uint64 {
+	h := uint64(0)
+	add := func(u Update) {
+		if u.Status == Left {
+			return
+		}
+		s := u.Status
+		if s == Suspect {
+			s = Alive
+		}
+		x := uint64(14695981039346656037)
+		for i := 0; i < len(u.ID); i++ {
+			x = (x ^ uint64(u.ID[i])) * 0x100000001b3
+		}
+		x = (x ^ u.Incarnation) * 0x9e3779b97f4a7c15
+		x = (x ^ uint64(s) ^ x>>31) * 0xbf58476d1ce4e5b9
+		h ^= x ^ x>>29
+	}
+	add(m.self)
+	for _, x := range m.order {
+		add(x.Update)
+	}
+	return h
+}
+
+// changed gives the view a new number if it is another one.
+func (m *Machine) changed() {
+	if d := m.sum(); d != m.digest {
+		m.digest = d
+		m.epoch++
+	}
+}
+
+// agree takes over a higher number. Equal views end with equal numbers; views that two
+// halves formed apart may bear one number but have other digests, and once merged bear a
+// number above both.
+func (m *Machine) agree(msg Message) {
+	m.epoch = max(m.epoch, msg.Epoch)
+}
--- a/lab/fleetsim/world.go
+++ b/lab/fleetsim/world.go
@@ -21,9 +21,10 @@
 
 // Result is what came of a deployment's day.
 type Result struct {
-	Service   float64   // worth served in time over worth asked, late answers in part
-	ByClass   []float64 // the same by class
-	Worst10   float64   // the worst 10 s of it
+	Service   float64      // worth served in time over worth asked, late answers in part
+	ByClass   []float64    // the same by class
+	Worst10   float64      // the worst 10 s of it
+	BySecond  [][2]float64 // worth asked in each second, and what of it was earned
 	Requests  int
 	Refused   int // tries
 	Late      int // requests
@@ -411,6 +412,7 @@
 		all, got = all+asked[i], got+earned[i]
 		w.res.ByClass = append(w.res.ByClass, earned[i]/math.Max(asked[i], 1e-9))
 	}
+	w.res.BySecond = bySecond
 	w.res.Service, w.res.Worst10 = got/math.Max(all, 1e-9), 1
 	for i := int(d.Warm / time.Second); i+10 < len(bySecond); i++ {
 		a, g := 0.0, 0.0
