Gateways of a tier tell each other who is there: sealed datagrams, keys, wellgw peers

Need: a gateway with engines from a file took itself for the only one, and with Consul learned of others by TTL checks alone (issue of membership).

Change: internal/peers carries decide/membership over UDP: at most 256 bytes, sealed by AES-GCM under a key derived for each process so that its counter is the nonce, a window against replays, another tier, version or key dropped and counted; a keyring file read anew in service; an incarnation that outlives a restart. Weighed: hashicorp/memberlist decides by itself when a silence is a death and needs TCP for its state, which the pure package must decide and the platform's 256 bytes do not allow; Consul sessions need Consul. peers in the operator's file with schema, off without it; the number that shares the engines goes to the core as the one event there was; wellgw peers; page.

Measured: tests of three programs (pauses, kills, minority), of rotation under traffic and of strangers by kind; members under load are not measured yet.

--- a/cmd/wellgw/directory.go
+++ b/cmd/wellgw/directory.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"wellgw/decide/membership"
 	"wellgw/decide/rolechange"
 	"wellgw/decide/roster"
 	"wellgw/internal/admin"
@@ -17,6 +18,7 @@
 	"wellgw/internal/consul"
 	"wellgw/internal/core"
 	"wellgw/internal/directory"
+	"wellgw/internal/peers"
 	"wellgw/internal/rolectl"
 	"wellgw/internal/telemetry"
 )
@@ -44,6 +46,7 @@
 	roles  *rolectl.Controller // nil where engines keep their roles
 	tracer *telemetry.Tracer   // nil without traces
 	admin  net.Listener        // nil without one
+	peers  *peers.Peers        // nil where gateways tell each other nothing
 }
 
 // build makes all of it; an error names the field of the file that can't be used.
@@ -73,11 +76,18 @@
 			return err
 		}
 	}
+	if err := s.join(o); err != nil {
+		return err
+	}
 	if o.Consul != nil {
 		var err error
 		s.consul, err = consul.New(consul.Options{
 			Config: *o.Consul, Zone: o.Zone, Keeper: s.keeper, Ready: s.core.Ready, Log: s.log, Address: s.address,
-			Gateways: func(n int) { s.shared.Store(int64(n)); s.core.Gateways(n) },
+			Gateways: func(n int) {
+				if s.peers == nil { // who talk to each other know better, and sooner
+					s.share(n)
+				}
+			},
 			Beside: func(ctx context.Context, client *consul.Client) {
 				if s.roles != nil {
 					s.roles.Run(ctx, client)
@@ -99,6 +109,29 @@
 	return nil
 }
 
+// join opens what gateways tell each other by, if the file says so.
+func (s *sources) join(o *config.Operator) error {
+	if o.Peers == nil {
+		return nil
+	}
+	ring, err := peers.ReadKeyring(o.Peers.KeyFile)
+	if err != nil {
+		return fmt.Errorf("peers.key_file: %w", err)
+	}
+	s.peers, err = peers.New(peers.Options{
+		Listen: o.Peers.Listen, Advertise: o.Peers.Advertise, Name: o.Peers.Name, Tier: o.Peers.Tier, Join: o.Peers.Join, Keys: ring,
+		IncarnationFile: o.Peers.IncarnationFile, Expect: o.Gateways, Log: s.log.With("part", "peers"),
+		Changed: func(v membership.View) { s.share(v.Sharing) },
+	})
+	return err
+}
+
+// share tells how many gateways share the engines from now on.
+func (s *sources) share(n int) {
+	s.shared.Store(int64(n))
+	s.core.Gateways(n)
+}
+
 // tell opens what tells operators of it.
 func (s *sources) tell(a *config.Admin, listen string) (err error) {
 	if a == nil {
@@ -147,6 +180,9 @@
 	if s.consul != nil {
 		group.Go(func() { s.consul.Run(ctx) })
 	}
+	if s.peers != nil {
+		group.Go(func() { s.peers.Run(ctx) })
+	}
 	if s.admin != nil {
 		group.Go(func() { s.serve(ctx) })
 	}
@@ -179,6 +215,9 @@
 		status = s.roles.Status
 		pages[admin.RolesPath] = func() any { return status() }
 	}
+	if s.peers != nil {
+		pages[admin.PeersPath] = func() any { return s.peers.Status() }
+	}
 	admin.Serve(ctx, s.admin, pages, map[string]http.Handler{telemetry.Path: telemetry.Handler(view, status)}, s.log)
 }
 
--- a/cmd/wellgw/main.go
+++ b/cmd/wellgw/main.go
@@ -26,6 +26,7 @@
 			}},
 			enginesCommand(),
 			rolesCommand(),
+			peersCommand(),
 			{Name: "check", Usage: "say what is wrong with a configuration", ArgsUsage: "FILE", Action: check},
 			{Name: "version", Usage: "print the version", Action: func(_ context.Context, cmd *cli.Command) error {
 				_, err := fmt.Fprintln(cmd.Root().Writer, "wellgw", version())
--- /dev/null
+++ b/cmd/wellgw/peers.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/urfave/cli/v3"
+
+	"wellgw/decide/membership"
+	"wellgw/internal/admin"
+	"wellgw/internal/peers"
+)
+
+func peersCommand() *cli.Command {
+	return &cli.Command{
+		Name: "peers", Usage: "print the gateways of the tier as a running gateway now sees them",
+		ArgsUsage: "[OPERATOR-FILE]", Flags: adminFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return show(ctx, cmd, admin.PeersPath, printPeers)
+		},
+	}
+}
+
+var standings = map[membership.Status]string{
+	membership.Alive: "alive", membership.Suspect: "suspect", membership.Leaving: "leaving",
+	membership.Dead: "dead", membership.Left: "left",
+}
+
+func printPeers(w io.Writer, s peers.Status) {
+	t := table.NewWriter()
+	t.SetOutputMirror(w)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"gateway", "address", "standing", "since", "incarnation", "heard", "round trip", "remarks"})
+	v := s.View
+	t.AppendRow(table.Row{s.Name + " (this one)", s.Listen, standings[v.Self.Status], "", v.Self.Incarnation, "", "", ""})
+	for _, g := range v.Others {
+		remarks := ""
+		if g.Status == membership.Suspect {
+			remarks = fmt.Sprintf("%d accuse it; dead in %v ", g.Accusers, g.Due.Round(100*time.Millisecond))
+		}
+		if g.OneWay {
+			remarks += "does not answer us, only others "
+		}
+		if !g.Steady {
+			remarks += "comes and goes "
+		}
+		t.AppendRow(table.Row{g.ID, g.Addr, standings[g.Status], ago(s.Clock, g.Since), g.Incarnation, ago(s.Clock, g.Heard), g.RTT.Round(10 * time.Microsecond), remarks})
+	}
+	t.Render()
+	fmt.Fprintf(w, "tier %s, view %d/%016x, key %s; %d gateways share the engines\n", s.Tier, v.Epoch, v.Digest, s.Key, v.Sharing)
+	if v.Minority {
+		fmt.Fprintln(w, "a minority: those in reach are not more than half of all that may be there")
+	}
+	if v.Silenced {
+		fmt.Fprintln(w, "silent: another process goes by this name")
+	}
+	if v.Health > 0 {
+		fmt.Fprintf(w, "distrusts itself by %d: it was paused, or its own probes went unanswered\n", v.Health)
+	}
+	c := s.Counts
+	fmt.Fprintf(w, "datagrams: %d sent, %d received; dropped %d short, %d of another version, %d by unknown keys, %d by bad seals, %d replayed, %d unreadable, %d of earlier lives, %d for want of time\n",
+		c.Sent, c.Received, c.Short, c.Version, c.Key, c.Seal, c.Replay, c.Payload, c.Former, c.Full)
+	fmt.Fprintf(w, "probes: %d, %d unanswered, %d answered by way of others; suspected %d, own refutations %d, deaths %d, own pauses %d\n",
+		v.Stats.Probes, v.Stats.Unanswered, v.Stats.Helped, v.Stats.Suspected, v.Stats.Refuted, v.Stats.Died, v.Stats.Pauses)
+}
+
+func ago(clock, at time.Duration) string {
+	return (clock - at).Round(100*time.Millisecond).String() + " ago"
+}
--- a/decide/membership/membership.go
+++ b/decide/membership/membership.go
@@ -179,6 +179,7 @@
 	out      []Send
 	stats    Stats
 	foreign  bool // another process goes by this name, and is to stay
+	news     bool // something that a view shows has changed
 }
 
 // Stats counts what a machine has seen.
@@ -366,7 +367,7 @@
 		}
 	}
 	msg.Updates = msg.Updates[:min(len(msg.Updates), m.cfg.Updates)]
-	m.news(&msg)
+	m.fresh(&msg)
 	m.out = append(m.out, Send{To: to, Message: msg})
 }
 
@@ -379,21 +380,21 @@
 	return u
 }
 
-// news adds the updates that have been passed on least often, ourselves among them.
-func (m *Machine) news(msg *Message) {
+// fresh adds the updates that have been passed on least often, ourselves among them.
+func (m *Machine) fresh(msg *Message) {
 	most := int(math.Ceil(spreadTimes * math.Log2(float64(len(m.order)+2))))
 	if m.selfSent < most && len(msg.Updates) < m.cfg.Updates {
 		m.selfSent++
 		msg.Updates = append(msg.Updates, m.self)
 	}
-	var fresh []*member
+	var list []*member
 	for _, x := range m.order {
 		if x.sent < most && !slices.ContainsFunc(msg.Updates, func(u Update) bool { return u.ID == x.ID }) {
-			fresh = append(fresh, x)
+			list = append(list, x)
 		}
 	}
-	slices.SortStableFunc(fresh, func(a, b *member) int { return cmp.Compare(a.sent, b.sent) })
-	for _, x := range fresh[:min(len(fresh), max(0, m.cfg.Updates-len(msg.Updates)))] {
+	slices.SortStableFunc(list, func(a, b *member) int { return cmp.Compare(a.sent, b.sent) })
+	for _, x := range list[:min(len(list), max(0, m.cfg.Updates-len(msg.Updates)))] {
 		x.sent++
 		msg.Updates = append(msg.Updates, m.aged(x))
 	}
@@ -462,7 +463,9 @@
 		return // our own, come back
 	}
 	m.stats.Namesakes++
-	m.foreign = m.foreign || msg.Instance > m.cfg.Instance
+	if msg.Instance > m.cfg.Instance && !m.foreign {
+		m.foreign, m.news = true, true
+	}
 }
 
 // acked takes an answer to a ping of ours, or passes it to whom it was made for.
@@ -544,7 +547,7 @@
 	u.Addr = cmp.Or(u.Addr, x.Addr)
 	age := u.Age
 	u.Age = 0
-	x.Update, x.sent = u, 0
+	x.Update, x.sent, m.news = u, 0, true
 	if u.Status != before {
 		x.since = m.now
 	}
--- a/decide/membership/view.go
+++ b/decide/membership/view.go
@@ -49,6 +49,13 @@
 	return v
 }
 
+// Changed tells whether anything but times has changed since the last call.
+func (m *Machine) Changed() bool {
+	was := m.news
+	m.news = false
+	return was
+}
+
 // Sharing is how many gateways may use the engines now. It errs to more: a suspect counts,
 // one that died counts for a while, since its engines' work may go on and so may it, and to
 // a minority every one that did not say it left counts, as the rest may be well together.
@@ -111,7 +118,7 @@
 // changed gives the view a new number if it is another one.
 func (m *Machine) changed() {
 	if d := m.sum(); d != m.digest {
-		m.digest = d
+		m.digest, m.news = d, true
 		m.epoch++
 	}
 }
@@ -120,5 +127,7 @@
 // halves formed apart may bear one number but have other digests, and once merged bear a
 // number above both.
 func (m *Machine) agree(msg Message) {
-	m.epoch = max(m.epoch, msg.Epoch)
+	if msg.Epoch > m.epoch {
+		m.epoch, m.news = msg.Epoch, true
+	}
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,10 +18,11 @@
 	"wellgw/internal/directory"
 )
 
-// Where the present view of the engines is, and the state of changes of roles.
+// Where the present view of the engines is, the state of changes of roles, and the tier.
 const (
 	EnginesPath = "/engines"
 	RolesPath   = "/roles"
+	PeersPath   = "/peers"
 )
 
 const (
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -89,6 +89,7 @@
 	Admin        *Admin         `json:"admin"`
 	Roles        *Roles         `json:"roles"`
 	Idempotency  *Idempotency   `json:"idempotency"`
+	Peers        *Peers         `json:"peers"`
 }
 
 // Roles that an engine may state. All but openai speak the platform's engine
@@ -162,6 +163,11 @@
 			return err
 		}
 	}
+	if o.Peers != nil {
+		if err := o.Peers.validate(); err != nil {
+			return err
+		}
+	}
 	if o.StateFile != "" && o.Consul == nil {
 		return errors.New("state_file: there is nothing to keep without consul")
 	}
@@ -252,6 +258,8 @@
 		return errors.New("consul.register: needs a restart")
 	case !reflect.DeepEqual(o.Roles, next.Roles):
 		return errors.New("roles: needs a restart")
+	case !reflect.DeepEqual(o.Peers, next.Peers):
+		return errors.New("peers: needs a restart")
 	case !reflect.DeepEqual(o.Idempotency, next.Idempotency):
 		return errors.New("idempotency: needs a restart")
 	case o.StateFile != next.StateFile || !reflect.DeepEqual(o.Admin, next.Admin):
--- /dev/null
+++ b/internal/peers/wire.go
@@ -0,0 +1,213 @@
+// Package peers carries what gateways of a tier tell each other about who is there: small
+// sealed datagrams, a keyring that rotates in service, and one goroutine that owns the view.
+// Everything that is decided is decided by decide/membership.
+//
+// No call from the path of a request waits on anything here: a view is read from memory,
+// and a peer that is slow or silent costs a datagram that nobody waits for.
+package peers
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"wellgw/decide/membership"
+)
+
+// A datagram is
+//
+//	version (1) key id (4) instance (8) random (8) counter (8) sealed (payload + 16)
+//
+// The part before the seal is authenticated with it, and so is the tier's name. Each
+// process seals by a key of its own, derived from the ring's key and its instance and random
+// part, so that the counter, which never comes twice in a process, is a nonce fit for GCM.
+const (
+	version    = 1
+	headSize   = 1 + 4 + 8 + 8 + 8
+	nonceSize  = 12
+	tagSize    = 16
+	MaxMessage = 256 // bytes of a datagram, as the platform allows between gateways
+	maxPayload = MaxMessage - headSize - tagSize
+	MaxName    = 24 // bytes of a gateway's name
+	ageUnit    = 10 * time.Millisecond
+)
+
+// What is wrong with a datagram; each kind is counted apart.
+var (
+	errShort   = errors.New("no datagram of ours")
+	errVersion = errors.New("another version")
+	errKey     = errors.New("a key that is not in the ring")
+	errSeal    = errors.New("a seal that does not hold")
+	errReplay  = errors.New("a datagram that has come before")
+	errPayload = errors.New("a payload that can't be read")
+)
+
+// process is what tells one process of a gateway from the next.
+type process struct{ instance, random uint64 }
+
+// sealer seals and opens by one key of the ring for one process.
+func sealer(key []byte, tier string, p process) (cipher.AEAD, error) {
+	var salt [16]byte
+	binary.BigEndian.PutUint64(salt[:], p.instance)
+	binary.BigEndian.PutUint64(salt[8:], p.random)
+	derived, err := hkdf.Key(sha256.New, key, salt[:], "wellgw peers "+tier, 32)
+	if err != nil {
+		return nil, err
+	}
+	block, err := aes.NewCipher(derived)
+	if err != nil {
+		return nil, err
+	}
+	return cipher.NewGCM(block)
+}
+
+func nonce(counter uint64) []byte {
+	n := make([]byte, nonceSize)
+	binary.BigEndian.PutUint64(n[4:], counter)
+	return n
+}
+
+// seal makes a datagram.
+func seal(aead cipher.AEAD, id keyID, p process, counter uint64, payload []byte) []byte {
+	b := make([]byte, 0, MaxMessage)
+	b = append(b, version)
+	b = append(b, id[:]...)
+	b = binary.BigEndian.AppendUint64(b, p.instance)
+	b = binary.BigEndian.AppendUint64(b, p.random)
+	b = binary.BigEndian.AppendUint64(b, counter)
+	return aead.Seal(b, nonce(counter), payload, b[:headSize])
+}
+
+// header reads the part before the seal.
+func header(b []byte) (id keyID, p process, counter uint64, err error) {
+	if len(b) < 1 || len(b) > MaxMessage {
+		return id, p, 0, errShort
+	}
+	if b[0] != version {
+		return id, p, 0, errVersion
+	}
+	if len(b) < headSize+tagSize {
+		return id, p, 0, errShort
+	}
+	copy(id[:], b[1:])
+	p.instance, p.random = binary.BigEndian.Uint64(b[5:]), binary.BigEndian.Uint64(b[13:])
+	return id, p, binary.BigEndian.Uint64(b[21:]), nil
+}
+
+// encode words a message in at most maxPayload bytes. Updates that do not fit are left out,
+// the last ones first: the machine tells of everything more than once.
+func encode(m membership.Message) ([]byte, error) {
+	if len(m.From) > MaxName || len(m.About) > MaxName {
+		return nil, fmt.Errorf("a name over %d bytes", MaxName)
+	}
+	b := []byte{byte(m.Kind)}
+	b = binary.AppendUvarint(b, uint64(m.Seq))
+	b = binary.AppendUvarint(b, m.Epoch)
+	b = binary.BigEndian.AppendUint64(b, m.Digest)
+	b = appendText(b, m.From)
+	b = appendText(b, m.About)
+	b = appendAddr(b, m.Addr)
+	for _, u := range m.Updates {
+		one := appendText(nil, u.ID)
+		one = appendAddr(one, u.Addr)
+		one = binary.AppendUvarint(one, u.Incarnation)
+		one = append(one, byte(u.Status))
+		one = binary.AppendUvarint(one, uint64(max(0, u.Age)/ageUnit))
+		if len(b)+len(one) > maxPayload {
+			break
+		}
+		b = append(b, one...)
+	}
+	return b, nil
+}
+
+// decode reads a payload. All of it must make sense: half a message is none.
+func decode(b []byte) (m membership.Message, err error) {
+	r := reader{b: b}
+	m.Kind = membership.Kind(r.byte())
+	m.Seq = uint32(r.uvarint())
+	m.Epoch = r.uvarint()
+	m.Digest = r.uint64()
+	m.From, m.About, m.Addr = r.text(), r.text(), r.addr()
+	for r.err == nil && len(r.b) > 0 {
+		u := membership.Update{ID: r.text(), Addr: r.addr(), Incarnation: r.uvarint(), Status: membership.Status(r.byte())}
+		u.Age = time.Duration(min(r.uvarint(), maxAge)) * ageUnit
+		if u.ID == "" || u.Status > membership.Left {
+			r.err = errPayload
+		}
+		m.Updates = append(m.Updates, u)
+	}
+	if m.Kind > membership.PingFor || m.From == "" || m.Addr == "" {
+		r.err = errPayload
+	}
+	return m, r.err
+}
+
+const maxAge = uint64(time.Hour / ageUnit)
+
+func appendText(b []byte, s string) []byte { return append(append(b, byte(len(s))), s...) }
+
+// appendAddr words an address of IPv4 in seven bytes; none is a zero.
+func appendAddr(b []byte, addr string) []byte {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil || !at.Addr().Unmap().Is4() {
+		return append(b, 0)
+	}
+	ip := at.Addr().Unmap().As4()
+	return binary.BigEndian.AppendUint16(append(append(b, 4), ip[:]...), at.Port())
+}
+
+type reader struct {
+	b   []byte
+	err error
+}
+
+func (r *reader) take(n int) []byte {
+	if r.err != nil || len(r.b) < n {
+		r.err = errPayload
+		return make([]byte, n)
+	}
+	p := r.b[:n]
+	r.b = r.b[n:]
+	return p
+}
+
+func (r *reader) byte() byte     { return r.take(1)[0] }
+func (r *reader) uint64() uint64 { return binary.BigEndian.Uint64(r.take(8)) }
+
+func (r *reader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 {
+		r.err = errPayload
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) text() string {
+	n := int(r.byte())
+	if n > MaxName {
+		r.err = errPayload
+		return ""
+	}
+	return string(r.take(n))
+}
+
+func (r *reader) addr() string {
+	switch r.byte() {
+	case 0:
+		return ""
+	case 4:
+		p := r.take(6)
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte(p)), binary.BigEndian.Uint16(p[4:])).String()
+	}
+	r.err = errPayload
+	return ""
+}
--- a/lab/gateway/gateway.go
+++ b/lab/gateway/gateway.go
@@ -180,6 +180,17 @@
 // Reload sends SIGHUP.
 func (g *Gateway) Reload() { _ = g.cmd.Process.Signal(syscall.SIGHUP) }
 
+// Pause stops the program where it stands, and Resume has it go on.
+func (g *Gateway) Pause() { _ = g.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume has a paused program go on.
+func (g *Gateway) Resume() { _ = g.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Page reads a page of the admin listener into v.
+func (g *Gateway) Page(ctx context.Context, path string, v any) error {
+	return admin.AskPage(ctx, g.Admin, path, v)
+}
+
 // Kill ends the program at once.
 func (g *Gateway) Kill() {
 	_ = g.cmd.Process.Kill()
