--- a/lab/membersim/membersim.go
+++ b/lab/membersim/membersim.go
@@ -19,7 +19,8 @@
 type Tier struct {
 	Now      time.Duration
 	Messages int // sent since the start
-	Updates  int // in them
+	Bytes    int // of them, if Size tells
+	Size     func(membership.Message) int
 	rng      *rand.Rand
 	agenda   agenda
 	seq      int
@@ -87,7 +88,9 @@
 func (t *Tier) carry(from *node, out []membership.Send) {
 	for _, s := range out {
 		t.Messages++
-		t.Updates += len(s.Updates)
+		if t.Size != nil {
+			t.Bytes += t.Size(s.Message)
+		}
 		if t.nodes[s.To] == nil || t.Lost != nil && t.Lost(from.id, s.To) {
 			continue
 		}
