--- a/cmd/wellgwlab/main.go
+++ b/cmd/wellgwlab/main.go
@@ -17,12 +17,13 @@
 	"wellgw/lab/chatrun"
 	"wellgw/lab/consulrun"
 	"wellgw/lab/fleetsim"
+	"wellgw/lab/membersrun"
 	"wellgw/lab/rolesrun"
 )
 
 // experiments are all that there are.
 func experiments() []lab.Experiment {
-	return []lab.Experiment{consulrun.Experiment(), rolesrun.Experiment(), chatrun.Experiment(), fleetsim.Experiment()}
+	return []lab.Experiment{consulrun.Experiment(), rolesrun.Experiment(), chatrun.Experiment(), fleetsim.Experiment(), membersrun.Experiment()}
 }
 
 func main() {
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -211,3 +211,12 @@
 	r.err = errPayload
 	return ""
 }
+
+// Size is how many bytes a message takes as a datagram; 0 for one that can't be worded.
+func Size(m membership.Message) int {
+	b, err := encode(m)
+	if err != nil {
+		return 0
+	}
+	return headSize + len(b) + tagSize
+}
