--- a/decide/membership/membership.go
+++ b/decide/membership/membership.go
@@ -611,24 +611,16 @@
 
 // Leave says that this gateway is about to end. It is told to a few at once; the messages
 // until the end carry it on.
-func (m *Machine) Leave(now Time) []Send {
-	m.out = m.out[:0]
-	m.advance(now)
-	m.self.Status, m.selfSent = Leaving, 0
-	m.changed()
-	return m.tellSome()
-}
+func (m *Machine) Leave(now Time) []Send { return m.depart(now, Leaving) }
 
 // End says that it has ended: the last word, to be sent before the process is gone.
-func (m *Machine) End(now Time) []Send {
+func (m *Machine) End(now Time) []Send { return m.depart(now, Left) }
+
+func (m *Machine) depart(now Time, s Status) []Send {
 	m.out = m.out[:0]
 	m.advance(now)
-	m.self.Status, m.selfSent = Left, 0
+	m.self.Status, m.selfSent = s, 0
 	m.changed()
-	return m.tellSome()
-}
-
-func (m *Machine) tellSome() []Send {
 	for _, x := range m.helpers(nil) {
 		m.send(x.Addr, Message{Kind: Ping, Seq: m.number()})
 	}
