--- a/lab/fleetsim/experiment.go
+++ b/lab/fleetsim/experiment.go
@@ -85,7 +85,7 @@
 func troubles(seed uint64, n int) lab.Table {
 	t := lab.Table{
 		Title: "Each trouble alone, at load 0.65: the module's service, over several deployments",
-		Head:  []string{"trouble", "before", "worst 3 s", "back after its begin", "back after its end", "service"},
+		Head:  []string{"trouble", "asked in the 6 s before", "worst 3 s", "back after its begin", "back after its end", "service"},
 	}
 	const at, span = 22 * time.Second, 8 * time.Second
 	for _, what := range []string{Slow, Flush, Hot, Links, Crash, Drain} {
