No look at writers where they may not read; a clock set back mutes no gateway

Seen on reading the change again: Router.spareWriters looked through all engines for each request also where writers do not read, which must cost nothing; and a gateway that restarts after its clock went back has a lower instance, so its datagrams were dropped as of an earlier life until the clock caught up. Change: the look only where WritersRead; a lower instance is heard after 10 s of silence of its name (TestAClockSetBackMutesNobody fails without). Unused fields out of the emulator and the machine.

--- a/decide/membership/membership.go
+++ b/decide/membership/membership.go
@@ -166,7 +166,6 @@
 	cfg      Config
 	rng      *rand.Rand
 	now      Time
-	started  Time
 	self     Update
 	selfSent int
 	members  map[string]*member
@@ -199,7 +198,7 @@
 func New(cfg Config, now Time) *Machine {
 	cfg.fill()
 	m := &Machine{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Instance)), now: now, started: now, members: map[string]*member{},
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Instance)), now: now, members: map[string]*member{},
 		self:   Update{ID: cfg.ID, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Status: Alive},
 		nextAt: now, epoch: 1, share: map[string]uint32{},
 	}
--- a/internal/peers/keyring.go
+++ b/internal/peers/keyring.go
@@ -148,7 +148,7 @@
 		return nil, p, errReplay
 	}
 	if fresh {
-		o.make()
+		o.evict()
 		o.from[who] = w
 	}
 	o.last++
@@ -156,8 +156,8 @@
 	return payload, p, nil
 }
 
-// make makes room for one more.
-func (o *opened) make() {
+// evict makes room for one more.
+func (o *opened) evict() {
 	if len(o.from) < mostHeard {
 		return
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -46,6 +46,7 @@
 	keysEvery  = 2 * time.Second
 	mostNames  = 4096 // names whose latest process is remembered
 	publishAll = time.Second
+	formerFor  = 10 * time.Second // of silence, after which a lower instance is a clock set back, not an earlier life
 )
 
 // Counts are datagrams since the start.
@@ -63,6 +64,12 @@
 	Counts                  Counts
 }
 
+// life is the latest process heard of a name.
+type life struct {
+	instance uint64
+	heard    time.Time
+}
+
 // Peers is a gateway's part in its tier.
 type Peers struct {
 	opt     Options
@@ -73,7 +80,7 @@
 	sealers map[keyID]cipher.AEAD
 	counter uint64
 	opened  opened
-	latest  map[string]uint64 // instance by name
+	latest  map[string]life // by name
 	leave   chan struct{}
 	status  atomic.Pointer[Status]
 	counts  struct {
@@ -124,7 +131,7 @@
 		return nil, err
 	}
 	p := &Peers{
-		opt: opt, conn: conn, origin: time.Now(), sealers: map[keyID]cipher.AEAD{}, latest: map[string]uint64{},
+		opt: opt, conn: conn, origin: time.Now(), sealers: map[keyID]cipher.AEAD{}, latest: map[string]life{},
 		opened: opened{tier: opt.Tier, ring: opt.Keys, from: map[opener]*window{}},
 		leave:  make(chan struct{}, 1), inc: make(chan uint64, 1),
 	}
@@ -318,7 +325,7 @@
 	if err == nil {
 		m, err = decode(payload)
 	}
-	if err == nil && from.instance < p.latest[m.From] {
+	if was := p.latest[m.From]; err == nil && from.instance < was.instance && time.Since(was.heard) < formerFor {
 		p.counts.former.Add(1) // of an earlier life: late, or sent again by somebody
 		return m, false
 	}
@@ -339,7 +346,7 @@
 		if len(p.latest) >= mostNames {
 			clear(p.latest)
 		}
-		p.latest[m.From] = from.instance
+		p.latest[m.From] = life{from.instance, time.Now()}
 		m.Instance = from.instance
 		return m, true
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -250,3 +250,31 @@
 		}
 	})
 }
+
+// A gateway that restarts after its clock went back has a lower instance than before. What
+// comes right after its former life is taken for that life's; after a silence it is heard.
+func TestAClockSetBackMutesNobody(t *testing.T) {
+	a, end := begin(t, Options{Name: "a", Keys: ring(t, keyFile(t, t.TempDir(), "keys", newKey(t)))})
+	end() // from here on the test is the goroutine that owns it
+	k := (*a.opt.Keys.keys.Load())[0]
+	payload, err := encode(membership.Message{Kind: membership.Ping, From: "b", Addr: "127.0.0.1:9"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	hears := func(instance, counter uint64) bool {
+		who := process{instance: instance, random: instance}
+		aead, err := sealer(k.value, "tier", who)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, ok := a.decode(seal(aead, k.id, who, counter, payload))
+		return ok
+	}
+	if !hears(9, 1) || hears(5, 1) || a.Counts().Former != 1 {
+		t.Errorf("of an earlier life: %+v", a.Counts())
+	}
+	a.latest["b"] = life{9, time.Now().Add(-2 * formerFor)}
+	if !hears(5, 2) {
+		t.Error("a lower instance is still not heard after a long silence")
+	}
+}
--- a/lab/fleetsim/world.go
+++ b/lab/fleetsim/world.go
@@ -26,9 +26,8 @@
 	Worst10   float64      // the worst 10 s of it
 	BySecond  [][2]float64 // worth asked in each second, and what of it was earned
 	Requests  int
-	Refused   int // tries
-	Late      int // requests
-	Sends     int
+	Refused   int      // tries
+	Late      int      // requests
 	Broken    []string // rules, the first few
 	Decisions []string // if asked for
 }
@@ -100,25 +99,24 @@
 }
 
 type world struct {
-	d         *Deployment
-	now       time.Duration
-	agenda    agenda
-	seq       int
-	noise     *rand.Rand
-	clients   draw
-	engines   []*engine
-	byName    map[string]*engine
-	gateways  []*gateway
-	links     map[int]time.Duration // when a cell's link is free
-	linkSlow  float64
-	calls     []*call
-	tries     map[ringdale.RequestID]*try
-	nextID    ringdale.RequestID
-	hotLen    int
-	res       Result
-	trace     bool
-	windows   [][2]float64
-	slackTime time.Duration
+	d        *Deployment
+	now      time.Duration
+	agenda   agenda
+	seq      int
+	noise    *rand.Rand
+	clients  draw
+	engines  []*engine
+	byName   map[string]*engine
+	gateways []*gateway
+	links    map[int]time.Duration // when a cell's link is free
+	linkSlow float64
+	calls    []*call
+	tries    map[ringdale.RequestID]*try
+	nextID   ringdale.RequestID
+	hotLen   int
+	res      Result
+	trace    bool
+	windows  [][2]float64
 }
 
 // Play plays a deployment under a policy. With trace, the result lists every decision.
@@ -126,7 +124,7 @@
 	w := &world{
 		d: d, noise: rand.New(rand.NewPCG(d.Seed, 2)), clients: draw{rand.New(rand.NewPCG(d.Seed, 3))},
 		byName: map[string]*engine{}, links: map[int]time.Duration{}, linkSlow: 1,
-		tries: map[ringdale.RequestID]*try{}, trace: trace, slackTime: 16 * time.Millisecond,
+		tries: map[ringdale.RequestID]*try{}, trace: trace,
 	}
 	for _, spec := range d.Engines {
 		e := &engine{w: w, Engine: spec, kind: &d.Kinds[spec.Kind], up: true, slow: 1, states: map[*try]int{}}
@@ -345,6 +343,9 @@
 	})
 }
 
+// answerSlack is the time past a client's deadline in which a final answer still counts.
+const answerSlack = 16 * time.Millisecond
+
 // expire ends a try whose client has waited long enough for a first token.
 func (w *world) expire(t *try) {
 	if t.ended || t.first > 0 {
@@ -354,7 +355,7 @@
 		w.finish(a, ringdale.StatusTimeout)
 		w.at(w.now, func() { w.withdraw(a) })
 	}
-	w.at(w.now+w.slackTime, func() {
+	w.at(w.now+answerSlack, func() {
 		if !t.ended && t.first == 0 {
 			w.broke("request %d got no final answer in time", t.id)
 			t.ended, t.gone = true, true
@@ -514,7 +515,6 @@
 		w.broke("a send to %s %v after its drain was told", e.Name, w.now-since)
 	}
 	w.unpin(t)
-	w.res.Sends++
 	out := &attempt{n: t.attempts, t: t, e: e, sent: w.now}
 	t.attempts++
 	t.out = out
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -80,11 +80,12 @@
 	quotaSlack   = 1.2         // a router's share of a quota is uneven
 	quotaSpan    = 2.0         // seconds of quota that may be saved up
 	shortWeight  = 4.0         // times that the wait for a writer counts anew where memory seems short
-	memoryFull   = 0.95
-	memoryRoomy  = 0.75
-	reportFade   = time.Second            // in which a report's word loses half of its weight
-	askFresh     = 300 * time.Millisecond // a report younger than this is not asked anew
-	askWait      = 40 * time.Millisecond  // a probe not answered by then is not waited for
+
+	memoryFull, memoryRoomy = 0.95, 0.75
+
+	reportFade = time.Second            // in which a report's word loses half of its weight
+	askFresh   = 300 * time.Millisecond // a report younger than this is not asked anew
+	askWait    = 40 * time.Millisecond  // a probe not answered by then is not waited for
 )
 
 // New returns a router for the settings; all its chance comes from seed. An
@@ -501,7 +502,9 @@
 	if len(capped) == 0 {
 		capped = pool
 	}
-	capped = append(capped, r.spareWriters(q)...)
+	if r.set.WritersRead {
+		capped = append(capped, r.spareWriters(q)...)
+	}
 	cost := func(w *worker) float64 {
 		m := 0
 		if !gated {
@@ -545,8 +548,7 @@
 // relieve readers that have a queue. Their running answers wait meanwhile: one read at a time.
 func (r *Router) spareWriters(q *request) []*worker {
 	return slices.DeleteFunc(r.eligible(q, false), func(w *worker) bool {
-		busy := w.reads > 0 || r.fill(w)+r.size(q)/max(w.kind.Memory, 1) > memoryRoomy
-		return !r.set.WritersRead || w.role() != RoleWriter || busy
+		return w.role() != RoleWriter || w.reads > 0 || r.fill(w)+r.size(q)/max(w.kind.Memory, 1) > memoryRoomy
 	})
 }
 
