Retries of orders under unseen keys are not run unless one gateway is said to be alone

Cause: cmd/wellgw/serve.go took the number of gateways that share the engines for the number that may have had an earlier try. That number is 1 where the file says nothing, where peers have not met yet, and after the others have died. Ruled out: the keys' files (each gateway kept its own in good order), the module's retries (each run came with a new request id from another gateway).

Change: decide/idem.Others decides; only "gateways": 1 without peers, or sticky, rules other gateways out. Tries that the gateway itself turned away are counted (bounded by team), so that retries after 429 and 503 run. Without a file of keys the first ten minutes after a start are doubted as after a crash.

--- a/cmd/wellgw/directory.go
+++ b/cmd/wellgw/directory.go
@@ -28,7 +28,7 @@
 func (g *gateway) takeEngines(o *config.Operator, anew func(func(*config.Operator) error) error) {
 	g.directory = func(c *core.Core) (core.Directory, func(context.Context), error) {
 		s := &sources{gateway: g, core: c}
-		s.shared.Store(int64(o.Gateways))
+		s.shared.Store(int64(max(o.Gateways, 1)))
 		if err := s.build(o); err != nil {
 			return nil, nil, err
 		}
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"wellgw/decide/idem"
 	"wellgw/internal/config"
 	"wellgw/internal/core"
 	"wellgw/internal/idempotency"
@@ -170,7 +171,11 @@
 	g.front = func(c *core.Core, b *intake.Budget) front {
 		f = openai.NewFront(openai.Options{
 			Core: c, File: o, Bodies: b, Keys: keys, Held: int64(heldPart * float64(o.Limits.MemoryMB) * (1 << 20)),
-			Others: func() bool { return g.shared.Load() > 1 && (o.Idempotency == nil || !o.Idempotency.Sticky) },
+			Others: func() bool {
+				return idem.Others{
+					Sticky: o.Idempotency != nil && o.Idempotency.Sticky, Said: o.Gateways, Talk: o.Peers != nil, Shown: int(g.shared.Load()),
+				}.May()
+			},
 		})
 		here.Store(f)
 		return f
--- a/decide/idem/idem.go
+++ b/decide/idem/idem.go
@@ -105,7 +105,8 @@
 	all     map[Key]*Entry
 	teams   map[string]*team
 	bytes   int64
-	doubted time.Time // until then an unseen key may be one that was lost
+	doubted time.Time          // until then an unseen key may be one that was lost
+	spared  map[string]*spared // by team
 	dropped []Key
 	sought  map[string]time.Time // when room was last looked for in vain, by team
 }
@@ -127,7 +128,9 @@
 	if err := l.Validate(); err != nil {
 		return nil, err
 	}
-	return &Table{lim: l, all: map[Key]*Entry{}, teams: map[string]*team{}, sought: map[string]time.Time{}}, nil
+	return &Table{
+		lim: l, all: map[Key]*Entry{}, teams: map[string]*team{}, sought: map[string]time.Time{}, spared: map[string]*spared{},
+	}, nil
 }
 
 // Restore takes in what an earlier run remembered. What ran then has been cut off. clean
@@ -203,7 +206,9 @@
 	default:
 		return Replay, *e
 	}
-	if a.Retry > 0 && (a.Others || now.Before(t.doubted)) {
+	// A try that nobody here remembers may have gone to another gateway, or to an earlier
+	// life of this one; those that were turned away here did not run.
+	if a.Retry > t.spared[a.Key.Team].tries(now, a.Key.Name) && (a.Others || now.Before(t.doubted)) {
 		return Lost, Entry{Key: a.Key}
 	}
 	if !t.makeRoom(now, a.Key.Team) {
@@ -235,6 +240,7 @@
 	switch how {
 	case NotRun:
 		t.remove(e)
+		t.Spare(now, k)
 		return Entry{}, false
 	case Whole:
 		e.State, e.Type = Complete, kind
@@ -250,6 +256,14 @@
 	return *e, true
 }
 
+// Spare takes it that a try under a key was turned away and did not run.
+func (t *Table) Spare(now time.Time, k Key) {
+	if t.spared[k.Team] == nil {
+		t.spared[k.Team] = &spared{}
+	}
+	t.spared[k.Team].add(now, k.Name)
+}
+
 // fit forgets answers, oldest first, of the team that has most of them kept, until the
 // rest fits. That one is complete stays remembered.
 func (t *Table) fit() {
--- a/decide/idem/idem_test.go
+++ b/decide/idem/idem_test.go
@@ -111,6 +111,60 @@
 	}
 }
 
+// Tries that were turned away here did not run: so many retries are safe here, whatever
+// other gateways there may be, and not one more.
+func TestRetriesOfWhatWasTurnedAway(t *testing.T) {
+	tb := table(t, nil)
+	tb.Restore(t0, nil, false)
+	try := func(at time.Duration, retry int) Verdict {
+		a := ask("a", "k", "d")
+		a.Retry, a.Others = retry, true
+		v, _ := tb.Begin(t0.Add(at), a)
+		return v
+	}
+	for n := range 3 {
+		if v := try(time.Duration(n)*time.Second, n); v != Run {
+			t.Fatalf("after %d tries turned away here: %v", n, v)
+		}
+		tb.End(t0, Key{"a", "k"}, ask("a", "k", "d").ID, NotRun, "", nil)
+	}
+	if v := try(time.Minute, 4); v != Lost {
+		t.Errorf("one of four tries was made elsewhere: %v", v)
+	}
+	if v := try(time.Hour, 3); v != Lost {
+		t.Errorf("an hour later: %v", v)
+	}
+	for i := range 10 * sparedMost { // a flood of another team's costs this one nothing
+		tb.Spare(t0.Add(time.Hour), Key{"b", fmt.Sprint(i)})
+	}
+	tb.Spare(t0.Add(time.Hour), Key{"a", "k2"})
+	if n := tb.spared["a"].tries(t0.Add(time.Hour), "k2"); n != 1 {
+		t.Errorf("%d tries remembered", n)
+	}
+	if b := tb.spared["b"]; len(b.young)+len(b.old) > 2*sparedMost {
+		t.Errorf("%d keys remembered", len(b.young)+len(b.old))
+	}
+}
+
+func TestWhoMayHaveHadAnEarlierTry(t *testing.T) {
+	for name, c := range map[string]struct {
+		know Others
+		may  bool
+	}{
+		"nothing is said":                        {Others{Shown: 1}, true},
+		"one gateway, by the file":               {Others{Said: 1, Shown: 1}, false},
+		"one by the file, others listed":         {Others{Said: 1, Shown: 2}, true},
+		"three by the file":                      {Others{Said: 3, Shown: 3}, true},
+		"gateways talk, and none is there yet":   {Others{Said: 1, Talk: true, Shown: 1}, true},
+		"keys stick":                             {Others{Sticky: true, Said: 3, Talk: true, Shown: 3}, false},
+		"one found by a catalogue, nothing said": {Others{Shown: 0}, true},
+	} {
+		if c.know.May() != c.may {
+			t.Errorf("%s: %v", name, !c.may)
+		}
+	}
+}
+
 func TestWhatARestartKeeps(t *testing.T) {
 	tb := table(t, nil)
 	entry := func(k string, s State, age time.Duration, answer string) Entry {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -75,8 +75,8 @@
 type Operator struct {
 	Listen       string         `json:"listen"`
 	Zone         string         `json:"zone"`
-	Zones        []string       `json:"zones"` // default: Zone alone
-	Gateways     int            `json:"gateways"`
+	Zones        []string       `json:"zones"`    // default: Zone alone
+	Gateways     int            `json:"gateways"` // that serve the same clients; 0: not said
 	MemoryTokens float64        `json:"engine_memory_tokens"`
 	EngineKey    string         `json:"engine_key"` // sent to OpenAI-only engines
 	Limits       Limits         `json:"limits"`
@@ -132,7 +132,6 @@
 	if len(o.Zones) == 0 {
 		o.Zones = []string{o.Zone}
 	}
-	o.Gateways = max(o.Gateways, 1)
 	if o.MemoryTokens <= 0 {
 		o.MemoryTokens = defaultMemoryTokens
 	}
@@ -250,7 +249,7 @@
 	switch {
 	case o.Listen != next.Listen || o.Limits != next.Limits:
 		return errors.New("listen, limits: need a restart")
-	case !reflect.DeepEqual(o.Settings(), next.Settings()) || !slices.Equal(o.Contracts, next.Contracts):
+	case !reflect.DeepEqual(o.Settings(), next.Settings()) || !slices.Equal(o.Contracts, next.Contracts) || o.Gateways != next.Gateways:
 		return errors.New("contracts, teams, budgets, zones, gateways: need a restart")
 	case (o.Consul == nil) != (next.Consul == nil):
 		return errors.New("consul: to begin or end its use needs a restart")
@@ -272,7 +271,7 @@
 // a team's budget is worth nothing, so the module refuses it.
 func (o *Operator) Settings() ringdale.Settings {
 	s := ringdale.Settings{
-		Zone: o.Zone, Zones: o.Zones, Routers: o.Gateways,
+		Zone: o.Zone, Zones: o.Zones, Routers: max(o.Gateways, 1),
 		CanCancel: true, CanRetryAfter: true, MaxRetryAfter: 30 * time.Second, MaxAttempts: 4,
 		Cold: 14 * time.Second, ColdShare: 0.3, Fall: 3 * time.Second, FallMultiple: 4,
 		PinLimit: 500 * time.Millisecond, Tick: 4 * time.Millisecond,
--- a/internal/idempotency/keeper.go
+++ b/internal/idempotency/keeper.go
@@ -68,6 +68,7 @@
 	}
 	k := &Keeper{log: log, limits: l, table: table, changed: map[idem.Key]*idem.Entry{}}
 	if path == "" {
+		table.Restore(time.Now(), nil, false) // an earlier run's keys are gone
 		return k, nil
 	}
 	_, statErr := os.Stat(path)
@@ -191,6 +192,13 @@
 	k.note(e, kept)
 }
 
+// Spare takes it that a try under a key was turned away and did not run.
+func (k *Keeper) Spare(key idem.Key) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table.Spare(time.Now(), key)
+}
+
 // note has what has changed written. The lock is held.
 func (k *Keeper) note(e idem.Entry, changed bool) {
 	dropped := k.table.Dropped()
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -192,6 +192,9 @@
 		apiError{status: http.StatusRequestEntityTooLarge, kind: typeRequest, code: codeTooBig, text: err.Error()}.send(w)
 		return
 	case errors.Is(err, intake.ErrBusy):
+		if name := r.Header.Get(keyHeader); name != "" && len(name) <= maxKey && f.keys != nil {
+			f.keys.Spare(idem.Key{Team: team.Name, Name: name})
+		}
 		refusal(core.Answer{Verdict: core.Refused, RetryAfter: busyPause}, false).send(w)
 		return
 	case err != nil:
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -37,9 +37,11 @@
 	Retries   int           // by the client itself, on 429, 503 and no connection
 	MostHint  time.Duration // longest Retry-After that is waited for; 0 = a second
 	MaxTokens int
-	Whole     bool    // not streamed
-	Keyed     bool    // each request has an idempotency key, and is sent again under it whatever became of it
-	Drop      float64 // share of first tries whose client goes in the middle
+	Whole     bool          // not streamed
+	Keyed     bool          // each request has an idempotency key, and is sent again under it whatever became of it
+	Roam      bool          // a client under a key asks another gateway each time
+	Patience  time.Duration // for an answer, of each try; 0 = 30 s
+	Drop      float64       // share of first tries whose client goes in the middle
 	Seed      uint64
 }
 
@@ -164,7 +166,8 @@
 	}
 }
 
-// ask makes one request with its client's retries. Tries under a key stay with one gateway.
+// ask makes one request with its client's retries. Tries under a key stay with one gateway
+// unless clients roam.
 func ask(ctx context.Context, p Plan, client *http.Client, random *rand.Rand, order, body string) Outcome {
 	o := Outcome{Asked: time.Now(), Order: order}
 	if p.Keyed {
@@ -180,7 +183,7 @@
 		if o.Total = time.Since(o.Asked); !again || o.Tries > p.Retries {
 			return o
 		}
-		if !p.Keyed {
+		if !p.Keyed || p.Roam {
 			target = (target + 1) % len(p.Targets)
 		}
 		pause.Sleep(ctx, min(max(hint, 20*time.Millisecond), p.MostHint))
@@ -197,7 +200,7 @@
 
 // try makes one try; again says that another is to be made.
 func try(ctx context.Context, p Plan, client *http.Client, target, body string, drop int, o *Outcome) (again bool, hint time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, answerWait)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(p.Patience, answerWait))
 	defer cancel()
 	o.Target, o.Status, o.Served, o.Code = target, 0, false, ""
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/v1/chat/completions", strings.NewReader(body))
