A suspicion carries its suspect's beat: long ways hide no death, versions agree by pair

Seen, in virtual time: among 30 gateways with ways of up to 100 ms a kill was known after 11 to 13 s, with ways of up to 200 ms never; with ways of 2 ms p50 was 2.55 s where 2.3 s of silence make a death.

Cause: Machine.lived took the younger of two ages, and an age is made younger by the way of each message that carries it, so an accusation passed round never came due. Ruled out: probes that came too late to accuse (suspicions counted, deaths did not follow); refutations (the suspect was gone).

Change: every message carries its sender's beat, a suspicion the latest beat heard; a later beat holds, and of one beat the older age. Beats go in datagrams of version 2; versions are found out by pair, every eighth message to an older one in both.

Tests TestLongWaysHideNoDeath and TestViewsThatDifferAreWalked.

--- a/decide/membership/membership.go
+++ b/decide/membership/membership.go
@@ -49,7 +49,8 @@
 	Addr        string // where it is reached; may be empty in updates on the dead
 	Incarnation uint64 // only the gateway itself raises it
 	Status      Status
-	Age         time.Duration // of a suspicion: since the probe that went unanswered
+	Age         time.Duration // of a suspicion: since the probe that went unanswered, or Beat was heard
+	Beat        uint32        // of a suspicion: the latest of its own beats that anybody has heard; 0: not told
 }
 
 // over tells whether u overrides v.
@@ -79,6 +80,7 @@
 	About    string // PingFor: whom to ping; Ack: for whom it answers, if not the sender; Want: the name to go on after
 	Epoch    uint64
 	Digest   uint64 // of the sender's view
+	Beat     uint32 // of the sender: its own clock in beatUnit, from 1 on; 0: not told
 	Updates  []Update
 }
 
@@ -117,6 +119,7 @@
 	joinEvery   = 5                      // probes between calls to the addresses to join by, once somebody is known
 	flapBound   = 2.0                    // returns from suspicion to death, fading, past which a gateway is not steady
 	flapFade    = time.Minute
+	beatUnit    = 10 * time.Millisecond
 	formerPause = time.Second            // between looks for namesakes
 	walkPieces  = 8                      // messages that answer one Want
 	walkWait    = 500 * time.Millisecond // for the next piece of a walk; then it is given up
@@ -145,7 +148,8 @@
 	rtt      time.Duration
 	flaps    float64
 	flapsAt  Time
-	sent     int // times that its latest update has been passed on
+	beat     uint32 // the latest that anybody has heard, in this incarnation
+	sent     int    // times that its latest update has been passed on
 	untold   bool
 	mark     uint64 // its part of the digest
 	accusers map[string]bool
@@ -402,7 +406,7 @@
 // first of all, so that it can refute.
 func (m *Machine) send(to string, msg Message, about ...*member) {
 	msg.From, msg.Instance, msg.Addr = m.cfg.ID, m.cfg.Instance, m.cfg.Addr
-	msg.Epoch, msg.Digest = m.epoch, m.digest
+	msg.Epoch, msg.Digest, msg.Beat = m.epoch, m.digest, uint32(m.now/beatUnit)+1
 	for _, x := range about {
 		if x.Status != Alive {
 			msg.Updates = append(msg.Updates, m.aged(x))
@@ -417,7 +421,7 @@
 func (m *Machine) aged(x *member) Update {
 	u := x.Update
 	if u.Status == Suspect {
-		u.Age = max(0, m.cfg.DeadAfter-(x.dueAt-m.now))
+		u.Age, u.Beat = max(0, m.cfg.DeadAfter-(x.dueAt-m.now)), x.beat
 	}
 	return u
 }
@@ -475,8 +479,9 @@
 	} else {
 		x.heard, x.seen = m.now, true
 		if x.Status == Suspect {
-			m.lived(x, 0)
+			m.lived(x, msg.Beat, 0)
 		}
+		x.beat = max(x.beat, msg.Beat)
 		m.known(x)
 	}
 	switch msg.Kind {
@@ -676,21 +681,29 @@
 	}
 	if x := m.members[u.ID]; x != nil && u.Status == Suspect && x.Status == Suspect && u.Incarnation == x.Incarnation {
 		x.accusers[from] = true
-		m.lived(x, u.Age)
+		m.lived(x, u.Beat, u.Age)
 		return
 	}
 	m.take(u)
 }
 
-// lived takes it that a suspect was there so long ago: it was heard, or probed for the first
-// time. Of what is said the youngest holds, or one whose accusation had just been answered
-// when a pause of its own began would have the less time for it.
-func (m *Machine) lived(x *member, ago time.Duration) {
+// lived takes it that a suspect's beat was heard so long ago, by us or by somebody. Of what is
+// said the latest beat holds, or one whose accusation had just been answered when a pause of
+// its own began would have the less time for it. Of one beat the oldest age holds: each hop
+// makes an age younger by the message's way, and by the younger one nobody would ever die
+// where the ways are long. One that tells no beat has the last word only among its like.
+func (m *Machine) lived(x *member, beat uint32, ago time.Duration) {
 	due := m.now + max(0, m.cfg.DeadAfter-ago)
-	if due > x.dueAt+pauseLeast { // worth telling the others anew
-		m.tell(x)
+	switch {
+	case beat < x.beat:
+	case beat == x.beat && beat > 0:
+		x.dueAt = min(x.dueAt, due)
+	default:
+		if due > x.dueAt+pauseLeast { // worth telling the others anew
+			m.tell(x)
+		}
+		x.beat, x.dueAt = beat, max(x.dueAt, due)
 	}
-	x.dueAt = max(x.dueAt, due)
 }
 
 // take enters an update if it overrides what is known.
@@ -711,8 +724,11 @@
 	}
 	before := x.Status
 	u.Addr = cmp.Or(u.Addr, x.Addr)
-	age := u.Age
-	u.Age = 0
+	age, beat := u.Age, u.Beat
+	u.Age, u.Beat = 0, 0
+	if u.Incarnation > x.Incarnation { // a process may have started anew, and its clock
+		x.beat = 0
+	}
 	x.Update, m.news = u, true
 	m.tell(x)
 	if u.Status != before {
@@ -730,9 +746,10 @@
 	m.digest ^= x.mark
 	switch {
 	case u.Status == Suspect:
-		if x.accusers = map[string]bool{}; x.seen { // we may have heard it since
+		if x.accusers = map[string]bool{}; x.seen && beat <= x.beat { // we may have heard it since
 			age = min(age, m.now-x.heard)
 		}
+		x.beat = max(x.beat, beat)
 		x.dueAt = m.now + max(0, m.cfg.DeadAfter-age)
 	case u.Status == Dead && before != Dead:
 		m.stats.Died++
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -86,6 +86,7 @@
 	me      process
 	origin  time.Time
 	sealers map[keyID]cipher.AEAD
+	speaks  versions
 	counter uint64
 	opened  opened
 	sharing int             // as last told
@@ -142,7 +143,7 @@
 		return nil, err
 	}
 	p := &Peers{
-		opt: opt, conn: conn, origin: time.Now(), sealers: map[keyID]cipher.AEAD{}, latest: map[string]life{},
+		opt: opt, conn: conn, origin: time.Now(), sealers: map[keyID]cipher.AEAD{}, latest: map[string]life{}, speaks: versions{},
 		opened: opened{tier: opt.Tier, ring: opt.Keys, from: map[opener]*window{}},
 		leave:  make(chan struct{}, 1), inc: make(chan uint64, 1), asked: make(chan chan Status),
 	}
@@ -392,9 +393,7 @@
 		err = errVersion
 	}
 	if err == nil {
-		if m, err = decode(payload); err == nil && versionOf(m.Kind) != b[0] {
-			err = errPayload
-		}
+		m, err = decode(b[0], payload)
 	}
 	if was := p.latest[m.From]; err == nil && from.instance < was.instance && time.Since(was.heard) < formerFor {
 		p.counts.former.Add(1) // of an earlier life: late, or sent again by somebody
@@ -418,6 +417,7 @@
 			clear(p.latest)
 		}
 		p.latest[m.From] = life{from.instance, time.Now()}
+		p.speaks.heard(m.Addr, b[0])
 		m.Instance = from.instance
 		return m, taken
 	}
@@ -440,23 +440,30 @@
 		p.sealers[first.id] = aead
 	}
 	for _, s := range out {
-		payload, err := encode(s.Message)
-		if p.opt.Route != nil {
-			s.To = p.opt.Route(s.To)
+		say := p.speaks.of(s.To, s.Kind)
+		if p.opt.Plain {
+			say = say[:1]
 		}
-		to, bad := netip.ParseAddrPort(s.To)
-		if err != nil || bad != nil {
-			p.counts.unsent.Add(1)
-			continue
+		to := s.To
+		if p.opt.Route != nil {
+			to = p.opt.Route(to)
 		}
-		p.counter++
-		b := seal(aead, versionOf(s.Kind), first.id, p.me, p.counter, payload)
-		if _, err := p.conn.WriteToUDPAddrPort(b, to); err != nil {
-			p.counts.unsent.Add(1)
-			continue
+		at, bad := netip.ParseAddrPort(to)
+		for _, as := range say {
+			payload, err := encode(as, s.Message)
+			if err != nil || bad != nil {
+				p.counts.unsent.Add(1)
+				continue
+			}
+			p.counter++
+			b := seal(aead, as, first.id, p.me, p.counter, payload)
+			if _, err := p.conn.WriteToUDPAddrPort(b, at); err != nil {
+				p.counts.unsent.Add(1)
+				continue
+			}
+			p.counts.sent.Add(1)
+			p.counts.sentBytes.Add(uint64(len(b)))
 		}
-		p.counts.sent.Add(1)
-		p.counts.sentBytes.Add(uint64(len(b)))
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	payload, err := encode(membership.Message{Kind: membership.Ping, From: "stranger", Addr: "127.0.0.1:9"})
+	payload, err := encode(oldest, membership.Message{Kind: membership.Ping, From: "stranger", Addr: "127.0.0.1:9"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -206,19 +206,26 @@
 		update := rapid.Custom(func(t *rapid.T) membership.Update {
 			return membership.Update{
 				ID: name.Draw(t, "id"), Addr: addr.Draw(t, "addr"), Incarnation: rapid.Uint64().Draw(t, "incarnation"),
-				Status: membership.Status(rapid.IntRange(0, 4).Draw(t, "status")), Age: ageUnit * time.Duration(rapid.IntRange(0, 1000).Draw(t, "age")),
+				Status: membership.Status(rapid.IntRange(0, 4).Draw(t, "status")), Age: ageUnit * time.Duration(rapid.IntRange(0, 1000).Draw(t, "age")), Beat: rapid.Uint32().Draw(t, "beat"),
 			}
 		})
 		m := membership.Message{
 			Kind: membership.Kind(rapid.IntRange(0, int(membership.Have)).Draw(t, "kind")), From: name.Draw(t, "from"), Addr: addr.Draw(t, "addr"),
 			Seq: rapid.Uint32().Draw(t, "seq"), About: rapid.OneOf(rapid.Just(""), name).Draw(t, "about"),
-			Epoch: rapid.Uint64().Draw(t, "epoch"), Digest: rapid.Uint64().Draw(t, "digest"), Updates: rapid.SliceOfN(update, 0, 9).Draw(t, "updates"),
+			Epoch: rapid.Uint64().Draw(t, "epoch"), Digest: rapid.Uint64().Draw(t, "digest"), Beat: rapid.Uint32().Draw(t, "beat"), Updates: rapid.SliceOfN(update, 0, 9).Draw(t, "updates"),
 		}
-		b, err := encode(m)
+		as := byte(rapid.IntRange(oldest, version).Draw(t, "version"))
+		if as == oldest {
+			m.Kind, m.Beat = min(m.Kind, membership.PingFor), 0
+			for i := range m.Updates {
+				m.Updates[i].Beat = 0
+			}
+		}
+		b, err := encode(as, m)
 		if err != nil || len(b) > maxPayload {
 			t.Fatalf("%d bytes, %v", len(b), err)
 		}
-		got, err := decode(b)
+		got, err := decode(as, b)
 		if err != nil || len(got.Updates) < min(len(m.Updates), 2) {
 			t.Fatalf("%d updates of %d, %v", len(got.Updates), len(m.Updates), err)
 		}
@@ -230,8 +237,8 @@
 			t.Fatalf("sent %+v, read %+v", m, got)
 		}
 		cut := rapid.IntRange(0, len(b)-1).Draw(t, "cut")
-		_, _ = decode(b[:cut]) // must not panic, whatever is missing
-		_, _ = decode(rapid.SliceOfN(rapid.Byte(), 0, maxPayload).Draw(t, "noise"))
+		_, _ = decode(as, b[:cut]) // must not panic, whatever is missing
+		_, _ = decode(as, rapid.SliceOfN(rapid.Byte(), 0, maxPayload).Draw(t, "noise"))
 	})
 }
 
@@ -257,7 +264,7 @@
 	a, end := begin(t, Options{Name: "a", Keys: ring(t, keyFile(t, t.TempDir(), "keys", newKey(t)))})
 	end() // from here on the test is the goroutine that owns it
 	k := (*a.opt.Keys.keys.Load())[0]
-	payload, err := encode(membership.Message{Kind: membership.Ping, From: "b", Addr: "127.0.0.1:9"})
+	payload, err := encode(oldest, membership.Message{Kind: membership.Ping, From: "b", Addr: "127.0.0.1:9"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -28,7 +28,7 @@
 // process seals by a key of its own, derived from the ring's key and its instance and random
 // part, so that the counter, which never comes twice in a process, is a nonce fit for GCM.
 const (
-	version    = 2 // of the datagrams that an older program can't read; all else goes out as version 1
+	version    = 2 // knows beats, and kinds beyond PingFor
 	oldest     = 1
 	headSize   = 1 + 4 + 8 + 8 + 8
 	nonceSize  = 12
@@ -85,13 +85,42 @@
 	return aead.Seal(b, nonce(counter), payload, b[:headSize])
 }
 
-// versionOf is the oldest version that has a kind of message, so that programs of an older
-// one in the same tier hear all they can make sense of.
-func versionOf(k membership.Kind) byte {
-	if k <= membership.PingFor {
-		return oldest
+// versions are those that others have been heard to speak, by address. To one not known to
+// speak the latest every eighth message goes in both: it answers in what it knows, so after
+// a roll forward or back each pair soon speaks the latest that both have.
+type versions map[string]*spoken
+
+type spoken struct {
+	as   byte
+	sent int
+}
+
+const bothEvery = 8
+
+// of tells in which versions a message is to be sent.
+func (v versions) of(to string, k membership.Kind) []byte {
+	x := v[to]
+	if x == nil {
+		if len(v) >= mostNames {
+			clear(v)
+		}
+		x = &spoken{as: oldest}
+		v[to] = x
+	}
+	x.sent++
+	switch {
+	case k > membership.PingFor || x.as >= version:
+		return []byte{version}
+	case x.sent%bothEvery == 1:
+		return []byte{oldest, version}
+	}
+	return []byte{oldest}
+}
+
+func (v versions) heard(from string, as byte) {
+	if x := v[from]; x != nil {
+		x.as = as
 	}
-	return version
 }
 
 // header reads the part before the seal.
@@ -110,9 +139,9 @@
 	return id, p, binary.BigEndian.Uint64(b[21:]), nil
 }
 
-// encode words a message in at most maxPayload bytes. Updates that do not fit are left out,
+// encode words a message in a version, in at most maxPayload bytes. Updates that do not fit are left out,
 // the last ones first: the machine tells of everything more than once.
-func encode(m membership.Message) ([]byte, error) {
+func encode(as byte, m membership.Message) ([]byte, error) {
 	if len(m.From) > MaxName || len(m.About) > MaxName {
 		return nil, fmt.Errorf("a name over %d bytes", MaxName)
 	}
@@ -120,6 +149,9 @@
 	b = binary.AppendUvarint(b, uint64(m.Seq))
 	b = binary.AppendUvarint(b, m.Epoch)
 	b = binary.BigEndian.AppendUint64(b, m.Digest)
+	if as > oldest {
+		b = binary.AppendUvarint(b, uint64(m.Beat))
+	}
 	b = appendText(b, m.From)
 	b = appendText(b, m.About)
 	b = appendAddr(b, m.Addr)
@@ -128,7 +160,10 @@
 		one = appendAddr(one, u.Addr)
 		one = binary.AppendUvarint(one, u.Incarnation)
 		one = append(one, byte(u.Status))
-		one = binary.AppendUvarint(one, uint64(max(0, u.Age)/ageUnit))
+		one = binary.AppendUvarint(one, uint64((max(0, u.Age)+ageUnit-1)/ageUnit))
+		if as > oldest {
+			one = binary.AppendUvarint(one, uint64(u.Beat))
+		}
 		if len(b)+len(one) > maxPayload {
 			break
 		}
@@ -138,22 +173,28 @@
 }
 
 // decode reads a payload. All of it must make sense: half a message is none.
-func decode(b []byte) (m membership.Message, err error) {
+func decode(as byte, b []byte) (m membership.Message, err error) {
 	r := reader{b: b}
 	m.Kind = membership.Kind(r.byte())
 	m.Seq = uint32(r.uvarint())
 	m.Epoch = r.uvarint()
 	m.Digest = r.uint64()
+	if as > oldest {
+		m.Beat = uint32(r.uvarint())
+	}
 	m.From, m.About, m.Addr = r.text(), r.text(), r.addr()
 	for r.err == nil && len(r.b) > 0 {
 		u := membership.Update{ID: r.text(), Addr: r.addr(), Incarnation: r.uvarint(), Status: membership.Status(r.byte())}
 		u.Age = time.Duration(min(r.uvarint(), maxAge)) * ageUnit
+		if as > oldest {
+			u.Beat = uint32(r.uvarint())
+		}
 		if u.ID == "" || u.Status > membership.Left {
 			r.err = errPayload
 		}
 		m.Updates = append(m.Updates, u)
 	}
-	if m.Kind > membership.Have || m.From == "" || m.Addr == "" {
+	if m.Kind > membership.Have || as == oldest && m.Kind > membership.PingFor || m.From == "" || m.Addr == "" {
 		r.err = errPayload
 	}
 	return m, r.err
@@ -224,7 +265,7 @@
 
 // Size is how many bytes a message takes as a datagram; 0 for one that can't be worded.
 func Size(m membership.Message) int {
-	b, err := encode(m)
+	b, err := encode(version, m)
 	if err != nil {
 		return 0
 	}
--- a/lab/membersim/membersim_test.go
+++ b/lab/membersim/membersim_test.go
@@ -23,3 +23,45 @@
 		}
 	}
 }
+
+// Where messages are long under way, each hop of an accusation must not make it younger:
+// nobody would ever die.
+func TestLongWaysHideNoDeath(t *testing.T) {
+	for _, way := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond} {
+		tier := New(1, 9)
+		tier.Way = way
+		if _, ok := tier.Until(30 * time.Second); !ok {
+			t.Fatalf("ways of up to %v: no agreement", way)
+		}
+		begun := tier.Now
+		tier.Kill("g004")
+		tier.Run(5 * time.Second)
+		all, everybody := tier.Knows("g004")
+		if !everybody {
+			t.Errorf("ways of up to %v: after 5 s %d of 8 know of the kill", way, len(all))
+		}
+		for _, at := range all {
+			if at-begun < 2*time.Second {
+				t.Errorf("ways of up to %v: dead after %v already", way, at-begun)
+			}
+		}
+	}
+}
+
+// A newcomer, and a half that comes back, know all within seconds, at a hundred too.
+func TestViewsThatDifferAreWalked(t *testing.T) {
+	tier := New(1, 100)
+	if _, ok := tier.Until(20 * time.Second); !ok {
+		t.Fatal("a hundred that start together do not agree within 20 s")
+	}
+	tier.Start("late", 1)
+	if took, ok := tier.Until(5 * time.Second); !ok {
+		t.Errorf("one more is not known to all after %v", took)
+	}
+	tier.Lost = func(a, b string) bool { return (a < "g050") != (b < "g050") }
+	tier.Run(6 * time.Second)
+	tier.Lost = nil
+	if took, ok := tier.Until(10 * time.Second); !ok {
+		t.Errorf("halves do not agree %v after the heal", took)
+	}
+}
--- a/lab/membersrun/membersrun.go
+++ b/lab/membersrun/membersrun.go
@@ -47,6 +47,7 @@
 	served     = 0.01 // least difference of service that counts
 	someEngine = 3
 	cpuSlack   = 1.5
+	settle     = time.Minute
 	overheard  = 60 // datagrams of each gateway that are sent again
 	floodRate  = 50_000
 	hubFor     = 8 * time.Second
@@ -561,6 +562,7 @@
 		tier.Size = peers.Size
 		join, _ := tier.Until(2 * time.Minute)
 		const still = 10 * time.Second
+		tier.Run(settle) // what a join is followed by is over
 		sent, size, spent := tier.Messages, tier.Bytes, tier.Spent
 		tier.Run(still)
 		cpu := tier.Spent - spent
