Calls to a silent discovery end within the grace on drains; a broken rule mended

Logs: watches went silent at 2.0 s, were given up at 6.5 s, calls made anew stayed silent too and were given up at 11.1 s, the next at 15.6 s; discovery was back at 11.5 s and told of drains from 12.6 s on.

Cause: internal/platform/watch.go waited 4.5 s for the head of any answer, and paused for up to 3 s, while what discovery's agent has counts as told from when it is back.

Change: decide/follow.PaceFor derives the wait for an answer and the pauses from the grace in the settings, so that both together take nine tenths of it at most (property); a watch is silent after 1.3 of the span between lines. Where lists are asked for and calls wait in turn, calls are waited for as before.

--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -137,7 +137,7 @@
 	g.figures.Slack = wire.Micros(p.Options.Rules.AnswerSlack)
 	g.front = func(c *core.Core, b *intake.Budget) front { return platform.NewFront(c, g.set.Classes, b) }
 	g.directory = func(c *core.Core) (core.Directory, func(context.Context), error) {
-		w := platform.NewWatch(p.Discovery, g.set.MustSubscribe, c.Roster, g.log)
+		w := platform.NewWatch(p.Discovery, g.set.MustSubscribe, wire.Micros(p.Options.Rules.DrainGrace), c.Roster, g.log)
 		current := p // as last read; reloads come one at a time
 		g.reload = func() error {
 			next, err := current.Anew(os.Getenv)
--- /dev/null
+++ b/decide/follow/pace_test.go
@@ -0,0 +1,26 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever the grace, a source that is back is heard within it, and nothing spins.
+func TestADrainIsHeardWithinItsGrace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "grace"))
+		p := PaceFor(grace, 2*time.Second)
+		limit := grace
+		if grace == 0 {
+			limit = graceUsual
+		}
+		if limit = max(limit, graceLeast); p.Worst() > limit*9/10 {
+			t.Errorf("grace %v: heard after %v at worst", grace, p.Worst())
+		}
+		if p.Answer < 50*time.Millisecond || p.First < 50*time.Millisecond || p.First > p.Most || p.Silence < 2200*time.Millisecond {
+			t.Errorf("grace %v: %+v", grace, p)
+		}
+	})
+}
--- a/internal/platform/pauses_test.go
+++ b/internal/platform/pauses_test.go
@@ -3,17 +3,20 @@
 import (
 	"testing"
 	"time"
+
+	"wellgw/decide/follow"
 )
 
 // Gateways refused by discovery together must not call again together: the pauses
 // of a fleet spread out and keep their bounds.
 func TestWatchPausesOfAFleetAreNotInStep(t *testing.T) {
 	last := map[time.Duration]bool{}
+	pace := follow.PaceFor(2*time.Second, watchBeat)
 	for range 80 {
-		b := pauses()
-		for n, mean := 0, watchPause; n < 8; n, mean = n+1, min(2*mean, watchMost) {
+		b := pauses(pace)
+		for n, mean := 0, pace.First; n < 8; n, mean = n+1, min(2*mean, pace.Most) {
 			p := b.NextBackOff()
-			if spread := time.Duration(watchSpread * float64(mean)); p < mean-spread || p > mean+spread {
+			if spread := time.Duration(pace.Spread * float64(mean)); p < mean-spread || p > mean+spread {
 				t.Fatalf("pause %d: %v, want %v within %v", n, p, mean, spread)
 			}
 			if n == 7 {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -118,7 +118,7 @@
 	}))
 	defer discovery.Close()
 	defer discovery.CloseClientConnections()
-	w := NewWatch(discovery.Listener.Addr().String(), false, told(&mu, &got), slog.New(slog.DiscardHandler))
+	w := NewWatch(discovery.Listener.Addr().String(), false, 0, told(&mu, &got), slog.New(slog.DiscardHandler))
 	go w.Run(t.Context(), list(41, true, "a active 0"))
 	playback.Eventually(t, "a third watch", func() bool { mu.Lock(); defer mu.Unlock(); return len(asked) >= 3 })
 	mu.Lock()
@@ -265,7 +265,7 @@
 		io.WriteString(w, `{"revision":45,"complete":true,"members":[{"id":"a","phase":"leaving"},{"id":"b","phase":"active"}]}`)
 	}))
 	defer discovery.Close()
-	w := NewWatch(discovery.Listener.Addr().String(), false, told(&mu, &got), slog.New(slog.DiscardHandler))
+	w := NewWatch(discovery.Listener.Addr().String(), false, 0, told(&mu, &got), slog.New(slog.DiscardHandler))
 	go w.Run(t.Context(), list(41, true, "a active 0"))
 	drained := fmt.Sprint(ringdale.RosterChanges, "a", ringdale.PhaseDraining)
 	playback.Eventually(t, "the drain told", func() bool { mu.Lock(); defer mu.Unlock(); return slices.Contains(got, drained) })
@@ -275,3 +275,38 @@
 		t.Errorf("told %v, want b as new", got)
 	}
 }
+
+// Calls made while discovery is away stay silent for ever: they are given up soon, or a drain
+// that it tells when it is back is learned too late.
+func TestCallsToASilentDiscoveryAreMadeAnew(t *testing.T) {
+	var mu sync.Mutex
+	var got []string
+	calls := 0
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		calls++
+		away := calls <= 12
+		mu.Unlock()
+		if !away {
+			io.WriteString(w, `{"revision":45,"complete":true,"members":[{"id":"a","phase":"leaving"}]}`+"\n")
+			w.(http.Flusher).Flush()
+		}
+		<-r.Context().Done()
+	}))
+	defer discovery.Close()
+	w := NewWatch(discovery.Listener.Addr().String(), false, 400*time.Millisecond, told(&mu, &got), slog.New(slog.DiscardHandler))
+	go w.Run(t.Context(), list(41, true, "a active 0"))
+	drained := fmt.Sprint(ringdale.RosterChanges, "a", ringdale.PhaseDraining)
+	// Twelve calls that each wait as long as a watch's silence would take half a minute.
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		mu.Lock()
+		learned := slices.Contains(got, drained)
+		mu.Unlock()
+		if learned {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the drain was not learned")
+		}
+	}
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -15,6 +15,7 @@
 	"github.com/cenkalti/backoff/v5"
 	jsoniter "github.com/json-iterator/go"
 
+	"wellgw/decide/follow"
 	"wellgw/internal/config"
 	"wellgw/internal/core"
 	"wellgw/ringdale"
@@ -22,12 +23,10 @@
 
 // The watch's margins. A line comes every 2 s at least.
 const (
-	watchSilence = 4500 * time.Millisecond
-	watchPause   = 100 * time.Millisecond // after a watch that brought news
-	watchMost    = 2 * time.Second        // between calls to a discovery that keeps refusing
-	watchSpread  = 0.5                    // each pause is drawn from this part below to above its mean
-	maxList      = 4 << 20
-	keepLeft     = 256 // engines that have left are remembered; more would grow with the days
+	watchBeat = 2 * time.Second
+	askWait   = 4500 * time.Millisecond // for an answer where calls wait in turn
+	maxList   = 4 << 20
+	keepLeft  = 256 // engines that have left are remembered; more would grow with the days
 )
 
 // Roster holds what discovery has told. It guards the drain rule: an engine that
@@ -133,6 +132,7 @@
 	roster *Roster
 	wake   chan struct{} // a Subscribe; nil where changes come by themselves
 	moved  chan struct{} // the address has changed
+	pace   follow.Pace
 	client *http.Client
 
 	mu    sync.Mutex
@@ -141,13 +141,15 @@
 }
 
 // NewWatch returns a watch on discovery's address. If asked is true it begins
-// only with the first Subscribe.
-func NewWatch(addr string, asked bool, tell func(ringdale.RosterScope, []core.Member), log *slog.Logger) *Watch {
-	w := &Watch{addr: addr, tell: tell, log: log, roster: NewRoster(), moved: make(chan struct{}, 1)}
+// only with the first Subscribe. Sends must end so long after a drain was told as grace
+// says, and what a discovery that was away has to tell counts as told from when it is back.
+func NewWatch(addr string, asked bool, grace time.Duration, tell func(ringdale.RosterScope, []core.Member), log *slog.Logger) *Watch {
+	w := &Watch{addr: addr, tell: tell, log: log, roster: NewRoster(), moved: make(chan struct{}, 1), pace: follow.PaceFor(grace, watchBeat)}
 	if asked {
 		w.wake = make(chan struct{}, 1)
+		w.pace.Answer = askWait
 	}
-	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, ResponseHeaderTimeout: watchSilence}}
+	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, ResponseHeaderTimeout: w.pace.Answer}}
 	return w
 }
 
@@ -181,9 +183,9 @@
 // random about their mean. A fleet of gateways started or refused together must
 // not call again together: in step, their calls would keep an overbooked discovery
 // overbooked, and fixed pauses of a second did exactly that.
-func pauses() *backoff.ExponentialBackOff {
+func pauses(p follow.Pace) *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval, b.RandomizationFactor = watchPause, watchMost, watchSpread
+	b.InitialInterval, b.MaxInterval, b.RandomizationFactor = p.First, p.Most, p.Spread
 	b.Multiplier = 2
 	b.Reset()
 	return b
@@ -192,7 +194,7 @@
 // Run starts from the list as last held and follows the watch until ctx ends.
 func (w *Watch) Run(ctx context.Context, known config.List) {
 	w.tell(ringdale.RosterCached, w.roster.Apply(known))
-	wait := pauses()
+	wait := pauses(w.pace)
 	for ctx.Err() == nil {
 		if w.wake != nil {
 			select {
@@ -230,7 +232,7 @@
 
 // list asks once for the whole list and tells what changed.
 func (w *Watch) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchSilence)
+	ctx, cancel := context.WithTimeout(ctx, w.pace.Answer)
 	defer cancel()
 	w.mu.Lock()
 	addr := w.addr
@@ -265,7 +267,7 @@
 func (w *Watch) follow(ctx context.Context) (lines int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
+	silence := time.AfterFunc(max(w.pace.Silence, w.pace.Answer), cancel)
 	defer silence.Stop()
 	w.mu.Lock()
 	addr := w.addr
@@ -287,7 +289,7 @@
 	scan := bufio.NewScanner(resp.Body)
 	scan.Buffer(nil, maxList)
 	for scan.Scan() {
-		silence.Reset(watchSilence)
+		silence.Reset(w.pace.Silence)
 		line := bytes.TrimSpace(scan.Bytes())
 		if len(line) == 0 {
 			continue
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -53,6 +53,7 @@
 		AnswerSlack  int64   `json:"answer_slack"`
 		Cold         int64   `json:"cold"`
 		ColdShare    float64 `json:"cold_share"`
+		DrainGrace   int64   `json:"drain_grace"`
 		Fall         int64   `json:"fall"`
 		FallMultiple float64 `json:"fall_multiple"`
 	} `json:"rules"`
