Refusals for want of a server or of retries advise the wait that is seen

Change: Router.hold and Router.again advise the oldest wait seen at the readers and that for a first token, spread as before, 0.2 s at least.

--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -241,7 +241,7 @@
 		r.shift(q, p, nil)
 	}
 	if r.now+r.tick() >= min(q.since+limit, q.deadline-leastRemain) { // the next look would be too late
-		r.giveUp(q, q.class.Aim/2)
+		r.giveUp(q, seconds(r.survey(RoleReader).age+r.writerWait()))
 		return
 	}
 	r.held = append(r.held, q)
@@ -377,7 +377,7 @@
 	}
 	if s != StatusFull || !r.singledOut(q) {
 		if r.retries < 1 {
-			r.giveUp(q, q.class.Aim/2)
+			r.giveUp(q, seconds(r.survey(RoleReader).age+r.writerWait()))
 			return
 		}
 		r.retries--
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -1098,3 +1098,37 @@
 		}
 	}
 }
+
+// A refusal for want of retries advises the wait that is seen, not a part of the aim: short
+// where nobody waits, long where the oldest have waited long, and not the same for all.
+func TestAdviceFollowsTheWaitSeen(t *testing.T) {
+	advice := func(crowd int) (all []time.Duration) {
+		for id := RequestID(100); id < 110; id++ {
+			set := testSettings()
+			set.MaxRetryAfter = 5 * time.Second
+			r := router(t, set, server("r1", "r", 0), server("r2", "r", 0), server("r3", "r", 0), server("w1", "w", 0))
+			for n := range crowd {
+				r.Handle(time.Second, ask(RequestID(n+1), 100))
+			}
+			at := sent(t, r.Handle(1200*ms, ask(id, 100)))
+			r.retries = 0
+			for _, a := range r.Handle(2200*ms, Outcome{ID: id, Server: at, Status: StatusError}) {
+				if f, ok := a.(Refuse); ok {
+					all = append(all, f.RetryAfter)
+				}
+			}
+		}
+		slices.Sort(all)
+		return all
+	}
+	idle, busy := advice(0), advice(6)
+	if len(idle) != 10 || len(busy) != 10 {
+		t.Fatalf("%d and %d refusals of 10", len(idle), len(busy))
+	}
+	if idle[9] > leastAdvice {
+		t.Errorf("nobody waits, and clients are told to stay away for %v", idle[9])
+	}
+	if busy[0] < 500*ms || busy[9] > 1200*ms || busy[9]-busy[0] < 100*ms {
+		t.Errorf("where others have waited for 1.2 s: %v to %v", busy[0], busy[9])
+	}
+}
