A reader whose fresh report shows a queue is not idle; programs of a fleet staged

Cause: Router.pickReader (policy.go) waives the wait for a reader with none of this router's own reads; among 80 routers that is nearly every reader, so admission was off.

Change: not where a fresh report shows a queue of a read's least tokens or more.

--- a/cmd/wellgwlab/main.go
+++ b/cmd/wellgwlab/main.go
@@ -16,6 +16,7 @@
 	"wellgw/lab"
 	"wellgw/lab/chatrun"
 	"wellgw/lab/consulrun"
+	"wellgw/lab/fleetrun"
 	"wellgw/lab/fleetsim"
 	"wellgw/lab/membersrun"
 	"wellgw/lab/rolesrun"
@@ -23,7 +24,7 @@
 
 // experiments are all that there are.
 func experiments() []lab.Experiment {
-	return []lab.Experiment{consulrun.Experiment(), rolesrun.Experiment(), chatrun.Experiment(), fleetsim.Experiment(), membersrun.Experiment()}
+	return []lab.Experiment{consulrun.Experiment(), rolesrun.Experiment(), chatrun.Experiment(), fleetsim.Experiment(), fleetrun.Experiment(), membersrun.Experiment()}
 }
 
 func main() {
--- a/decide/membership/membership.go
+++ b/decide/membership/membership.go
@@ -67,7 +67,7 @@
 	Ack
 	PingFor // asks for a ping of a third gateway, in the name of the sender
 	Want    // asks for the part of a view that follows a name, since views differ
-	Have    // a piece of that part; the last one ends the walk if it is empty
+	Have    // a piece of that part, up to the name that it tells; none ends the walk
 )
 
 // Message is what gateways send each other.
@@ -101,6 +101,10 @@
 	Seed        uint64
 	Updates     int // most updates in one message
 
+	// Fits tells how many of a message's updates its carrier has room for; nil: all. The
+	// rest is left out on the way, the last ones first.
+	Fits func(Message) int
+
 	Interval  time.Duration // between probes; 0 = 100 ms
 	Timeout   time.Duration // for a direct answer; 0 = 80 ms
 	DeadAfter time.Duration // of silence, proven by a probe; 0 = 2.3 s
@@ -553,14 +557,17 @@
 		return 1
 	})
 	for range walkPieces {
-		part := Message{Kind: Have, Seq: msg.Seq, About: msg.About}
+		part := Message{Kind: Have, Seq: msg.Seq, From: m.cfg.ID, Addr: m.cfg.Addr, Epoch: m.epoch, Digest: m.digest, Beat: math.MaxUint32}
 		for _, x := range m.order[at:min(len(m.order), at+m.cfg.Updates)] {
-			part.Updates = append(part.Updates, m.aged(x))
-			part.About = x.ID
+			part.Updates, part.About = append(part.Updates, m.aged(x)), x.ID
+		}
+		if n := len(part.Updates); n > 0 && m.cfg.Fits != nil {
+			n = max(1, m.cfg.Fits(part)) // what is left out here comes with the next piece
+			part.Updates, part.About = part.Updates[:n], part.Updates[n-1].ID
 		}
 		at += len(part.Updates)
 		m.send(msg.Addr, part)
-		if len(part.Updates) == 0 {
+		if part.About == "" {
 			return
 		}
 	}
@@ -572,7 +579,7 @@
 	if msg.From != m.walk.of || msg.Seq != m.walk.seq {
 		return
 	}
-	if len(msg.Updates) == 0 || msg.Digest == m.digest { // the end, or all there was to learn
+	if msg.About == "" || msg.Digest == m.digest { // the end, or all there was to learn
 		m.walk.of = ""
 		return
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -150,7 +150,7 @@
 	p.me = process{instance: uint64(time.Now().UnixMilli())<<16 | uint64(random[6])<<8 | uint64(random[7]), random: binary.BigEndian.Uint64(random[:])}
 	p.machine = membership.New(membership.Config{
 		ID: opt.Name, Addr: public, Instance: p.me.instance, Incarnation: incarnation, Join: join,
-		Expect: opt.Expect, Seed: p.me.random, Plain: opt.Plain, Interval: opt.Interval, Timeout: opt.Timeout, DeadAfter: opt.DeadAfter,
+		Expect: opt.Expect, Seed: p.me.random, Fits: Fits, Plain: opt.Plain, Interval: opt.Interval, Timeout: opt.Timeout, DeadAfter: opt.DeadAfter,
 	}, 0)
 	p.publish()
 	opt.Log.Info("peers", "listen", p.Addr(), "reached", public)
--- /dev/null
+++ b/lab/fleetrun/fleetrun.go
@@ -0,0 +1,98 @@
+// Package fleetrun is the experiment "fleet": what gateways do alone, added up. Fleets of 3 to
+// 300 gateways before the same hundred engines in virtual time, and twelve gateways as programs
+// before eight stand-in engines, with faults between them.
+package fleetrun
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"wellgw/lab"
+	"wellgw/lab/fleetsim"
+	"wellgw/ringdale"
+)
+
+// Experiment returns the experiment.
+func Experiment() lab.Experiment {
+	return lab.Experiment{
+		Name:  "fleet",
+		About: "Fleets of 3 to 300 gateways before the same hundred engines in virtual time; twelve gateways as programs before eight engines, killed, stopped and cut off in turn.",
+		Run:   run,
+	}
+}
+
+// points is how much less than at 3 gateways may be served at 300.
+const points = 0.03
+
+func run(ctx context.Context, opt lab.Options) (*lab.Report, error) {
+	r := &lab.Report{}
+	if err := programs(ctx, opt, r); err != nil {
+		return nil, err
+	}
+	emulated(ctx, opt, r)
+	return r, ctx.Err()
+}
+
+// emulated plays each fleet's day with more and more gateways.
+func emulated(ctx context.Context, opt lab.Options, r *lab.Report) {
+	fleets, sizes := 4, []int{3, 30, 80, 300}
+	if opt.Quick {
+		fleets, sizes = 1, []int{3, 30}
+	}
+	type cell struct {
+		d *fleetsim.Deployment
+		r fleetsim.Result
+	}
+	cells := make([][]cell, fleets)
+	var group sync.WaitGroup
+	free := make(chan struct{}, 4)
+	for i := range fleets {
+		cells[i] = make([]cell, len(sizes))
+		for j, n := range sizes {
+			group.Go(func() {
+				free <- struct{}{}
+				defer func() { <-free }()
+				if ctx.Err() == nil {
+					d := fleetsim.Fleet(opt.Seed+uint64(i), n)
+					cells[i][j] = cell{d, fleetsim.Play(d, func(set ringdale.Settings, seed uint64) fleetsim.Decider { return fleetsim.Module(set, seed) }, false)}
+				}
+			})
+		}
+	}
+	group.Wait()
+	if ctx.Err() != nil {
+		return
+	}
+	t := lab.Table{Title: "The same day with more gateways, in virtual time", Head: []string{
+		"fleet", "troubles", "gateways", "requests", "service", "worst 10 s", "refused tries", "late", "probes a request", "new connections a request",
+	}}
+	service := lab.Line{Name: "service, mean"}
+	for j, n := range sizes {
+		mean := 0.0
+		for i := range cells {
+			mean += cells[i][j].r.Service / float64(fleets)
+		}
+		service.At = append(service.At, [2]float64{float64(n), mean})
+	}
+	for i := range cells {
+		for j, n := range sizes {
+			c := cells[i][j]
+			each := func(n int) string { return fmt.Sprintf("%.2f", float64(n)/float64(max(c.r.Requests, 1))) }
+			what := ""
+			for _, x := range c.d.Troubles {
+				what += fmt.Sprintf("%s %.0f s ", x.What, x.At.Seconds())
+			}
+			t.Rows = append(t.Rows, []any{
+				c.d.Name, what, n, c.r.Requests, fmt.Sprintf("%.3f", c.r.Service), fmt.Sprintf("%.3f", c.r.Worst10), c.r.Refused, c.r.Late, each(c.r.Probes), each(c.r.Conns),
+			})
+			if len(c.r.Broken) > 0 {
+				r.Hold(false, fmt.Sprintf("%s with %d gateways keeps the rules", c.d.Name, n), "%s", c.r.Broken[0])
+			}
+		}
+		few, many := cells[i][0].r.Service, cells[i][len(sizes)-1].r.Service
+		r.Hold(many >= few-points, fmt.Sprintf("%s: service at %d gateways is within 3 points of that at %d", cells[i][0].d.Name, sizes[len(sizes)-1], sizes[0]), "%.3f against %.3f", many, few)
+	}
+	r.Tables = append(r.Tables, t)
+	r.Charts = append(r.Charts, lab.Chart{Name: "service", Title: "Service by the number of gateways, the same load", X: "gateways", Y: "service", Lines: []lab.Line{service}})
+}
--- a/lab/membersim/membersim.go
+++ b/lab/membersim/membersim.go
@@ -22,6 +22,7 @@
 	Bytes    int           // of them, if Size tells
 	Spent    time.Duration // by the machines themselves, without what plays them
 	Size     func(membership.Message) int
+	Fits     func(membership.Message) int // updates that a message holds; nil: all
 	rng      *rand.Rand
 	agenda   agenda
 	seq      int
@@ -69,7 +70,7 @@
 // Start begins a gateway's process; all join by the first two.
 func (t *Tier) Start(id string, life uint64) {
 	x := &node{id: id, life: life, knows: map[string]time.Duration{}}
-	x.Machine = membership.New(membership.Config{ID: id, Addr: id, Instance: life, Incarnation: life, Seed: t.rng.Uint64(), Join: []string{"g000", "g001"}}, t.Now)
+	x.Machine = membership.New(membership.Config{ID: id, Addr: id, Instance: life, Incarnation: life, Seed: t.rng.Uint64(), Join: []string{"g000", "g001"}, Fits: t.Fits}, t.Now)
 	if t.nodes[id] == nil {
 		t.Names = append(t.Names, id)
 	}
@@ -97,6 +98,9 @@
 		}
 		msg := s.Message
 		msg.Updates = slices.Clone(msg.Updates)
+		if t.Fits != nil {
+			msg.Updates = msg.Updates[:t.Fits(msg)]
+		}
 		t.put(item{at: t.Now + time.Duration(t.rng.Int64N(int64(t.Way))), to: s.To, msg: &msg})
 	}
 }
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -531,7 +531,7 @@
 		return nil, 0
 	}
 	wait := cost(w)
-	if w.reads == 0 && w.role() == RoleReader { // an idle reader is tried: stale figures correct themselves
+	if w.reads == 0 && w.role() == RoleReader && r.queued(w) < leastRead { // an idle one is tried
 		wait = later
 	}
 	wait = max(wait, r.age(w)) // first come, first read: the oldest tells what the wait is at least
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -1132,3 +1132,27 @@
 		t.Errorf("where others have waited for 1.2 s: %v to %v", busy[0], busy[9])
 	}
 }
+
+// Among many routers a reader with none of our own reads is not idle if its fresh report
+// shows a queue: what can't be in time there is refused, not tried.
+func TestAReportedQueueIsNotIdle(t *testing.T) {
+	for _, c := range []struct {
+		queue   float64
+		at      time.Duration // of the request, after the report
+		refused bool
+	}{{0, 0, false}, {8, 0, true}, {8, 30 * time.Second, false}} {
+		set := testSettings()
+		set.Routers, set.CanProbe = 80, true
+		r := router(t, set, server("r1", "r", 0), server("r2", "r", 0), server("w1", "w", 0))
+		for _, name := range []string{"r1", "r2"} {
+			r.Handle(time.Second, ProbeResult{Server: name, Report: &Report{Queue: &c.queue}})
+		}
+		actions := slices.Clone(r.Handle(time.Second+c.at, ask(1, 8000)))
+		if c.at > 0 { // the report is old: the likeliest reader is asked, and does not answer
+			actions = append(actions, r.Handle(time.Second+c.at+60*ms, TimerFired{Name: "tick"})...)
+		}
+		if has[Refuse](actions) != c.refused || has[Send](actions) == c.refused {
+			t.Errorf("a queue of %v, %v ago: %v", c.queue, c.at, actions)
+		}
+	}
+}
