--- a/lab/fleetrun/programs.go
+++ b/lab/fleetrun/programs.go
@@ -1,13 +1,9 @@
 package fleetrun
 
 import (
-	"bytes"
 	"context"
-	"encoding/base64"
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
 	"strconv"
 	"time"
 
@@ -52,7 +48,7 @@
 	peers  map[string]string // relays
 	doors  []string          // by which clients come
 	gates  map[string]*gateway.Gateway
-	keys   string
+	tier   *gateway.Tier
 	spans  []engine.Span
 	spread lab.Table
 }
@@ -111,10 +107,8 @@
 		t.byID[id] = e
 		t.list(id)
 	}
-	t.keys = filepath.Join(t.opt.Work, "keys")
-	key := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{byte(t.opt.Seed), 9}, 16))
-	if err := os.WriteFile(t.keys, []byte(key+"\n"), 0o600); err != nil {
-		return fmt.Errorf("fleet: %w", err)
+	if t.tier, err = gateway.NewTier(t.opt.Work, t.opt.Seed); err != nil {
+		return err
 	}
 	for i := range gateways {
 		name := fmt.Sprint("g", i+1)
@@ -127,6 +121,7 @@
 		}
 		t.names, t.doors = append(t.names, name), append(t.doors, door)
 	}
+	t.tier.Join = []string{t.peers[t.names[0]], t.peers[t.names[1]]}
 	for _, name := range t.names {
 		if err := t.begin(ctx, name); err != nil {
 			return err
@@ -150,10 +145,7 @@
 func (t *tier) begin(ctx context.Context, name string) error {
 	s := gateway.Settings(map[string]any{"check_path": "/healthz", "address": t.agent.Addr, "service": service})
 	s["gateways"] = gateways
-	s["peers"] = map[string]any{
-		"listen": "127.0.0.1:0", "advertise": t.peers[name], "name": name, "tier": "lab", "key_file": t.keys,
-		"join": []string{t.peers[t.names[0]], t.peers[t.names[1]]}, "incarnation_file": filepath.Join(t.opt.Work, name+".incarnation"),
-	}
+	s["peers"] = t.tier.Peers(name, t.peers[name])
 	g, err := gateway.Start(ctx, t.opt.Program, t.opt.Work, name, s)
 	if err != nil {
 		return err
--- a/lab/membersrun/membersrun.go
+++ b/lab/membersrun/membersrun.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -57,7 +56,6 @@
 type tier struct {
 	opt   lab.Options
 	net   *faultnet.Net
-	keys  string
 	names []string
 	addrs []string // public ones, by name's place
 	gates map[string]*gateway.Gateway
@@ -101,10 +99,9 @@
 
 // start begins the engines and the gateways, each behind its relay.
 func (t *tier) start(ctx context.Context) error {
-	t.keys = filepath.Join(t.opt.Work, "keys")
-	key := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{byte(t.opt.Seed), 7}, 16))
-	if err := os.WriteFile(t.keys, []byte(key+"\n"), 0o600); err != nil {
-		return fmt.Errorf("members: %w", err)
+	common, err := gateway.NewTier(t.opt.Work, t.opt.Seed)
+	if err != nil {
+		return err
 	}
 	var engines []any
 	for i := range someEngine {
@@ -122,14 +119,12 @@
 		}
 		t.names, t.addrs = append(t.names, name), append(t.addrs, addr)
 	}
+	common.Join = t.addrs[:2]
 	for i, name := range t.names {
 		s := gateway.Settings(nil)
 		delete(s, "consul")
 		s["engines"] = engines
-		s["peers"] = map[string]any{
-			"listen": "127.0.0.1:0", "advertise": t.addrs[i], "name": name, "tier": "lab", "key_file": t.keys,
-			"join": []string{t.addrs[0], t.addrs[1]}, "incarnation_file": filepath.Join(t.opt.Work, name+".incarnation"),
-		}
+		s["peers"] = common.Peers(name, t.addrs[i])
 		t.files[name] = s
 		if err := t.begin(ctx, name); err != nil {
 			return err
