Orders meet no attempt given up just before; states behind a cut stay covered

Seen, with every step logged: each such duplicate was an order whose silent read attempt was withdrawn, and whose next attempt or refusal left within microseconds of the close; 7 of some 4,450 such withdrawals. Ruled out: silent connections against hung engines (both among the good ones), second answers, late connections. Now what must not meet an attempt (the next one, and the word that an order never ran) waits 3 ms after its end.

Pinned: a state read at an engine, its writer silent, both behind a cut from this gateway alone: core.end closed the writer's connection at once, and releases could not connect for seconds. Now the attempt stays out, its client answered, until a connection to the state's holder is up (Engine.Release's up, Pool.sure); 32 such at most, 15 s at most, none for a refused order.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -107,8 +107,9 @@
 	// function returned gives the attempt up and closes its connection at once.
 	Start(a Attempt, first func(Stream), ended func(Result)) (cancel func())
 	// Release lets go of all that an engine holds for a request, trying again
-	// until it has been told or the time is over.
-	Release(at Member, wire string, until time.Time, done func(error))
+	// until it has been told or the time is over. If up is given, it is called once the
+	// engine is known to be reached, before it is told; not at all if it never is.
+	Release(at Member, wire string, until time.Time, up func(), done func(error))
 	// Probe asks an engine for its load.
 	Probe(at Member, done func(ringdale.Status, *ringdale.Report))
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,9 @@
 	queueSize    = 4096
 	strayAgain   = 150 * time.Millisecond // a second release, should a read have ended as it was given up
 	releaseLimit = 4                      // times the pin limit for which a release is tried
+	coverLimit   = 15 * time.Second       // and where an attempt covers what is held; cuts seldom last longer
+	coverMost    = 32                     // attempts that do so at once: each keeps a connection and a body
+	tellMargin   = 3 * time.Millisecond   // from the end of an attempt to what must not meet it, such as the next
 	clockOrigin  = 24 * time.Hour         // the module's clock at the start, so that no time of it is 0
 )
 
@@ -44,6 +47,7 @@
 	pending  []ringdale.Event
 	settling []*request
 	releases int
+	covers   int // attempts over for the module whose connections are kept; see cover
 	drained  []chan struct{}
 	counts   map[string]int
 	traffic  map[string]*Traffic // by class
@@ -61,6 +65,7 @@
 	stream    Stream
 	attempts  []*attempt
 	out       int               // attempts that have not ended
+	cover     *attempt          // given up, its connection not closed yet
 	holder    string            // the reader whose state waits, as far as is known
 	held      map[string]Member // engines that may hold something
 	status    ringdale.Status   // how the latest attempt ended, and why
@@ -74,6 +79,7 @@
 	server Member
 	sent   time.Time
 	ended  bool
+	begun  bool // its answer has
 	cancel func()
 }
 
@@ -344,11 +350,16 @@
 		c.release(q, c.fig.PinLimit*releaseLimit)
 	}
 	c.after(limit, func() { c.end(q, at, Result{Status: ringdale.StatusTimeout}) })
-	at.cancel = c.engine.Start(
-		Attempt{Wire: q.Wire, Number: at.number, To: m, Limit: limit, Payload: q.Payload},
-		func(s Stream) { c.post(func() { c.first(q, at, s) }) },
-		func(r Result) { c.post(func() { c.end(q, at, r) }) },
-	)
+	c.afterEnd(q, func() {
+		if at.ended {
+			return
+		}
+		at.cancel = c.engine.Start(
+			Attempt{Wire: q.Wire, Number: at.number, To: m, Limit: limit, Payload: q.Payload},
+			func(s Stream) { c.post(func() { c.first(q, at, s) }) },
+			func(r Result) { c.post(func() { c.end(q, at, r) }) },
+		)
+	})
 }
 
 // first gives an attempt's stream to the client, if the client still waits for it.
@@ -358,7 +369,7 @@
 		c.end(q, at, Result{Status: ringdale.StatusCancelled})
 		return
 	}
-	q.streaming, q.stream = at, s
+	q.streaming, q.stream, at.begun = at, s, true
 	q.holder = ""
 	q.held[at.server.Name] = at.server // for a break; a whole stream leaves nothing
 	for _, other := range q.attempts {
@@ -394,7 +405,12 @@
 	default:
 		q.ran = true
 	}
-	at.cancel()
+	if !at.begun && (r.Status == ringdale.StatusCancelled || r.Status == ringdale.StatusTimeout) {
+		c.uncover(q)
+		q.cover = at
+	} else {
+		at.cancel()
+	}
 	q.out--
 	c.settling = append(c.settling, q)
 	c.counts[statusNames[r.Status]]++
@@ -438,12 +454,28 @@
 	}
 	c.counts[verdictNames[a.Verdict]]++
 	c.settling = append(c.settling, q)
-	q.front.Answer(a)
+	if a.Verdict == Refused && !c.router.Free(q.Class) { // it is said never to have run
+		c.afterEnd(q, func() { q.front.Answer(a) })
+	} else {
+		q.front.Answer(a)
+	}
 	if c.observer != nil {
 		c.observer.Answered(q.Request, a, verdictNames[a.Verdict])
 	}
 }
 
+// afterEnd closes the connection of an attempt that has been given up, and does what must
+// not meet that attempt once its engine can have learned of it: both take their own ways.
+// Without one it is done at once.
+func (c *Core) afterEnd(q *request, job func()) {
+	if q.cover == nil {
+		job()
+		return
+	}
+	c.uncover(q)
+	c.after(tellMargin, job)
+}
+
 func (q *request) mayRun() bool { return q.ran || q.out > 0 }
 
 // gone forgets a request whose client has left.
@@ -483,6 +515,7 @@
 		c.settling = c.settling[1:]
 		switch {
 		case q.out > 0:
+			c.uncover(q)
 		case q.answered:
 			c.release(q, c.fig.PinLimit*releaseLimit)
 			if c.requests[q.ID] == q {
@@ -506,17 +539,53 @@
 	}
 }
 
+// uncover closes the connection of an attempt that has been given up.
+func (c *Core) uncover(q *request) {
+	if q.cover != nil {
+		q.cover.cancel()
+		q.cover = nil
+	}
+}
+
+// covered returns the engine that has to be reached before the connection of the attempt
+// that was given up is closed: the one that surely holds a state or, without one, the
+// attempt's own. A state must not be held for long while no attempt is out, and an engine
+// behind a cut can't be told to let go: as long as it is not reached, the attempt stays out,
+// and its engine goes on answering for the state.
+func (c *Core) covered(q *request) string {
+	name := q.holder
+	if name == "" && q.cover != nil {
+		name = q.cover.server.Name
+	}
+	if _, held := q.held[name]; q.cover == nil || !held || !q.answered || c.covers >= coverMost {
+		c.uncover(q)
+		return ""
+	}
+	return name
+}
+
 // release tells every engine that may hold something for a request to let it go.
 func (c *Core) release(q *request, within time.Duration) {
+	cover := c.covered(q)
 	for name, m := range q.held {
-		c.releaseAt(m, q.Wire, within)
+		if name == cover {
+			at := q.cover
+			q.cover = nil
+			c.covers++
+			c.releaseAt(m, q.Wire, max(within, coverLimit), at.cancel, func() {
+				c.covers--
+				at.cancel()
+			})
+		} else {
+			c.releaseAt(m, q.Wire, within, nil, nil)
+		}
 		if q.unsure[name] && q.answered {
 			// The engine may see the closed connection only after the release, and
 			// its read may end in between.
 			c.releases++
 			c.after(strayAgain, func() {
 				c.releases--
-				c.releaseAt(m, q.Wire, within)
+				c.releaseAt(m, q.Wire, within, nil, nil)
 			})
 		}
 	}
@@ -524,12 +593,17 @@
 	q.holder = ""
 }
 
-func (c *Core) releaseAt(m Member, wire string, within time.Duration) {
+// releaseAt tells one engine. up may be nil; see Engine. over, if not nil, is called when
+// the engine has been told or the time is over.
+func (c *Core) releaseAt(m Member, wire string, within time.Duration, up, over func()) {
 	c.releases++
 	c.counts["releases"]++
-	c.engine.Release(m, wire, time.Now().Add(within), func(err error) {
+	c.engine.Release(m, wire, time.Now().Add(within), up, func(err error) {
 		c.post(func() {
 			c.releases--
+			if over != nil {
+				over()
+			}
 			if err != nil {
 				c.counts["releases failed"]++
 				c.log.Debug("release failed", "id", wire, "cause", err)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -22,7 +22,9 @@
 	script   func(a Attempt) (Stream, *Result) // neither: silence
 	attempts []string                          // servers
 	closed   int
+	lastEnd  time.Time // when an attempt was closed last
 	released []string
+	cut      chan struct{} // if set, no engine is reached by a release before it is closed
 }
 
 func (f *fake) Start(a Attempt, first func(Stream), ended func(Result)) func() {
@@ -42,15 +44,30 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.closed++
+			f.lastEnd = time.Now()
 		})
 	}
 }
 
-func (f *fake) Release(m Member, wire string, _ time.Time, done func(error)) {
+func (f *fake) Release(m Member, wire string, _ time.Time, up func(), done func(error)) {
 	f.mu.Lock()
 	f.released = append(f.released, m.Name)
 	f.mu.Unlock()
-	go done(nil)
+	go func() {
+		if f.cut != nil {
+			<-f.cut
+		}
+		if up != nil {
+			up()
+		}
+		done(nil)
+	}()
+}
+
+func (f *fake) closes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
 }
 
 func (f *fake) Probe(Member, func(ringdale.Status, *ringdale.Report)) {}
@@ -389,3 +406,92 @@
 		t.Errorf("attempts %v", f.attempts)
 	}
 }
+
+// The engine that holds a state is behind a cut: the attempt that has been given up stays
+// out until that engine can be told to let go, and its client has had its answer at once.
+func TestAnAttemptCoversAStateThatCannotBeLetGo(t *testing.T) {
+	silent := func() (Stream, *Result) { return nil, nil }
+	for _, c := range []struct {
+		name, class string
+		script      func(Attempt) (Stream, *Result)
+		verdict     Verdict
+		covered     bool
+	}{
+		{"read, and the writer is silent", "once", script(silent), Failed, true},
+		{"a lookup's reader is silent, and may have read", "free", func(Attempt) (Stream, *Result) { return silent() }, Refused, true},
+		{"an order that is refused has nothing out", "once", func(Attempt) (Stream, *Result) { return silent() }, Refused, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fake{script: c.script, cut: make(chan struct{})}
+			core := newCore(t, f)
+			a, _, _ := Await(t.Context(), core, ask(c.class, 300*time.Millisecond))
+			if a.Verdict != c.verdict {
+				t.Fatalf("answer %+v", a)
+			}
+			playback.Eventually(t, "the reader is told to let go", func() bool { return f.has("r1") })
+			core.Counts(t.Context())
+			if n := f.closes(); (n == len(f.attempts)-1) != c.covered {
+				t.Errorf("%d of %d attempts are closed before the reader is reached", n, len(f.attempts))
+			}
+			close(f.cut)
+			if err := core.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if n := f.closes(); n < len(f.attempts) {
+				t.Errorf("%d of %d attempts are closed after it has let go", n, len(f.attempts))
+			}
+		})
+	}
+}
+
+// Attempts that cover what is held are bounded: each keeps a connection.
+func TestCoversAreBounded(t *testing.T) {
+	f := &fake{script: func(Attempt) (Stream, *Result) { return nil, nil }, cut: make(chan struct{})}
+	defer close(f.cut)
+	core := newCore(t, f)
+	sent := func() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.attempts) }
+	for round := 0; sent() <= coverMost; round++ { // some are refused as they would wait too long
+		var group sync.WaitGroup
+		for i := range coverMost {
+			q := ask("free", 300*time.Millisecond)
+			q.Wire = fmt.Sprint("id", round, "-", i)
+			group.Go(func() { Await(t.Context(), core, q) })
+		}
+		group.Wait()
+	}
+	core.Counts(t.Context()) // what has been answered is settled
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if open := len(f.attempts) - f.closed; len(f.attempts) <= coverMost || open != coverMost {
+		t.Errorf("%d of %d attempts are still open, want %d", open, len(f.attempts), coverMost)
+	}
+}
+
+// What must not meet an attempt waits until its engine can have learned of its end: a
+// further attempt, and the word that an order never ran. Both take other ways than the end.
+func TestWhatMustNotMeetAnAttemptWaitsForItsEnd(t *testing.T) {
+	after := make(chan time.Duration, 8)
+	f := &fake{}
+	since := func() time.Duration { f.mu.Lock(); defer f.mu.Unlock(); return time.Since(f.lastEnd) }
+	f.script = func(a Attempt) (Stream, *Result) {
+		if a.Number > 0 {
+			after <- since()
+		}
+		return nil, nil
+	}
+	core := newCore(t, f)
+	a, _, _ := Await(t.Context(), core, ask("once", 300*time.Millisecond))
+	if d := since(); a.Verdict != Refused || d < tellMargin {
+		t.Errorf("verdict %v, %v after the attempt's end", a.Verdict, d)
+	}
+	go Await(t.Context(), core, ask("free", time.Minute))
+	playback.Eventually(t, "its first attempt is out", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return len(f.attempts) == 2 })
+	core.post(func() {
+		for _, q := range core.requests {
+			core.end(q, q.attempts[0], Result{Status: ringdale.StatusCancelled})
+		}
+	})
+	if d := <-after; d < tellMargin {
+		t.Errorf("the next attempt goes out %v after the end of the one before", d)
+	}
+}
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -108,9 +108,9 @@
 }
 
 // Release lets go of what is held; see core.Engine.
-func (e traced) Release(at core.Member, wire string, until time.Time, done func(error)) {
+func (e traced) Release(at core.Member, wire string, until time.Time, up func(), done func(error)) {
 	begun := time.Now()
-	e.Engine.Release(at, wire, until, func(err error) {
+	e.Engine.Release(at, wire, until, up, func(err error) {
 		failed := ""
 		if err != nil {
 			failed = err.Error()
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -53,9 +53,9 @@
 	maxHead      = 64 << 10 // of an answer, with what comes of its body meanwhile
 	maxAnswer    = 64 << 10 // of an answer that is no stream
 	tailSize     = 4 << 10
-	headSpan     = time.Second     // a head that has begun has come by then, and a short answer's body
-	doneSpan     = time.Second     // and so has the last chunk once the last event has
-	leakGuard    = 2 * time.Second // past an attempt's limit, should nobody give it up
+	headSpan     = time.Second      // a head that has begun has come by then, and a short answer's body
+	doneSpan     = time.Second      // and so has the last chunk once the last event has
+	leakGuard    = 20 * time.Second // past an attempt's limit: it may cover what is held, or nobody gives it up
 	releaseWait  = 300 * time.Millisecond
 	releasePause = 50 * time.Millisecond
 	probeWait    = time.Second
@@ -433,15 +433,22 @@
 
 // Release lets go of what is held for a request; see core.Engine. The call has
 // no effect but that, so it may be sent again.
-func (e *Engine) Release(at core.Member, wire string, until time.Time, done func(error)) {
+func (e *Engine) Release(at core.Member, wire string, until time.Time, up func(), done func(error)) {
 	call, given := e.dialect(at.Kind).Release(wire)
+	var once sync.Once
+	reached := func() {
+		if up != nil {
+			once.Do(up)
+		}
+	}
 	go func() {
 		if !given {
+			reached()
 			done(nil)
 			return
 		}
 		for pause := releasePause; ; pause = min(2*pause, releaseWait) {
-			_, _, err := e.exchange(at.Addr, call, releaseWait, false)
+			_, _, err := e.exchange(at.Addr, call, releaseWait, false, up != nil, reached)
 			if err == nil || time.Now().Add(pause).After(until) {
 				done(err)
 				return
@@ -459,7 +466,7 @@
 			done(ringdale.StatusUnsent, nil)
 			return
 		}
-		resp, body, err := e.exchange(at.Addr, call, probeWait, true)
+		resp, body, err := e.exchange(at.Addr, call, probeWait, true, false, func() {})
 		if err != nil {
 			done(ringdale.StatusNoConnect, nil)
 			return
@@ -470,14 +477,20 @@
 }
 
 // exchange makes a short call that has no effect worth counting. A brief one keeps
-// a connection that it opened for a moment only; see putBrief.
-func (e *Engine) exchange(addr string, call Call, wait time.Duration, brief bool) (*http.Response, []byte, error) {
+// a connection that it opened for a moment only; see putBrief. A sure one goes out on no
+// connection that may have fallen silent unseen. Reached is called before the call is written.
+func (e *Engine) exchange(addr string, call Call, wait time.Duration, brief, sure bool, reached func()) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	c, err := e.pool.get(ctx, addr)
+	take := e.pool.get
+	if sure {
+		take = e.pool.sure
+	}
+	c, err := take(ctx, addr)
 	if err != nil {
 		return nil, nil, err
 	}
+	reached()
 	c.SetDeadline(time.Now().Add(wait))
 	if err := write(c, call); err != nil {
 		e.pool.drop(c)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,6 +29,7 @@
 const (
 	idlePart    = 0.5                    // of ConnIdle, after which an idle connection is retired
 	briefIdle   = 300 * time.Millisecond // a connection opened for a probe waits so long for a request
+	sureIdle    = 200 * time.Millisecond // an engine that answered this lately is taken to be reached
 	sweepEvery  = 200 * time.Millisecond // how often idle connections are looked at
 	leastBuffer = 4 << 10
 	connectPart = 0.95 // of the connect time-out, so that ours comes first
@@ -105,6 +106,18 @@
 	}
 }
 
+// sure returns a connection on which the engine is surely reached: a new one, or one over
+// which it has answered just now. On one that has been idle for longer nothing shows a cut.
+func (p *Pool) sure(ctx context.Context, addr string) (*conn, error) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	if n := len(list); n > 0 && time.Since(list[n-1].idle) < sureIdle {
+		p.mu.Unlock()
+		return p.get(ctx, addr)
+	}
+	return p.dial(ctx, addr)
+}
+
 // get returns an idle connection that its engine has not closed, or a new one.
 func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
 	p.mu.Lock()
@@ -119,6 +132,11 @@
 		c.Close()
 		p.open--
 	}
+	return p.dial(ctx, addr)
+}
+
+// dial opens a connection. The lock is held and let go.
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	if p.opt.MaxConns > 0 && p.open >= p.opt.MaxConns && !p.evict() {
 		p.mu.Unlock()
 		return nil, errTooMany
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -68,3 +68,24 @@
 		t.Errorf("a connection that had carried work is retired at %v", taken.until)
 	}
 }
+
+// On a connection that has been idle nothing shows a cut: who must know that an engine is
+// reached gets another one.
+func TestAnIdleConnectionProvesNothing(t *testing.T) {
+	server := playback.NewEngine(t, func(playback.Call) string { return playback.Cut })
+	for _, idle := range []time.Duration{0, 2 * sureIdle} {
+		p := NewPool(Options{ConnectTimeout: time.Second, ConnIdle: time.Minute})
+		kept, err := p.get(t.Context(), server.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.put(kept)
+		kept.idle = time.Now().Add(time.Minute - idle) // the test may be held up meanwhile
+		if idle > 0 {
+			kept.idle = time.Now().Add(-idle)
+		}
+		if c, err := p.sure(t.Context(), server.Addr); err != nil || (c == kept) != (idle == 0) {
+			t.Errorf("idle for %v: the same connection %v, %v", idle, c == kept, err)
+		}
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -151,7 +151,7 @@
 		return "HTTP/1.1 204 No Content\r\n\r\n"
 	})
 	done := make(chan error, 1)
-	engine(t).Release(core.Member{Addr: server.Addr}, "id1", time.Now().Add(time.Minute), func(err error) { done <- err })
+	engine(t).Release(core.Member{Addr: server.Addr}, "id1", time.Now().Add(time.Minute), nil, func(err error) { done <- err })
 	if err := <-done; err != nil {
 		t.Error(err)
 	}
@@ -159,3 +159,24 @@
 		t.Errorf("calls %+v", calls)
 	}
 }
+
+// An engine that is not reached is not let go of as if it were: what covers the state stays
+// until a connection is up.
+func TestReleaseTellsWhenTheEngineIsReached(t *testing.T) {
+	server := playback.NewEngine(t, func(playback.Call) string { return "HTTP/1.1 204 No Content\r\n\r\n" })
+	e, done, calls := engine(t), make(chan error, 1), -1
+	e.Release(core.Member{Addr: server.Addr}, "id1", time.Now().Add(time.Minute), func() { calls = len(server.Calls("DELETE")) }, func(err error) { done <- err })
+	if err := <-done; err != nil || calls != 0 {
+		t.Errorf("reached after %d calls, %v; want it before the first", calls, err)
+	}
+	closed, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	up := func() { t.Error("reached, though nobody listens") }
+	e.Release(core.Member{Addr: closed.Addr().String()}, "id2", time.Now(), up, func(err error) { done <- err })
+	if err := <-done; err == nil {
+		t.Error("let go, though nobody listens")
+	}
+}
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -338,6 +338,12 @@
 	return Standing{Most: most, Left: t.saved, Full: seconds((most - t.saved) / t.rate)}, true
 }
 
+// Free tells whether requests of a class may be repeated at will.
+func (r *Router) Free(class string) bool {
+	c := r.classes[class]
+	return c != nil && c.Effect == EffectFree
+}
+
 // onPeers takes the number of routers that share the pools: this router's part of
 // every quota follows, and so does all that is reckoned with that number.
 func (r *Router) onPeers(routers int) {
