--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -395,6 +395,11 @@
 
 // end closes an attempt and tells the module how it went, once.
 func (c *Core) end(q *request, at *attempt, r Result) {
+	if at.ended && r.Status == ringdale.StatusRead && q.answered {
+		// Its answer came while it covered what is held: it covers nothing any more, and the
+		// connection that brought it is the surest way to its engine.
+		c.releaseAt(at.server, q.Wire, c.fig.PinLimit*releaseLimit, nil, nil)
+	}
 	if at.ended || q.streaming == at {
 		return
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -495,3 +495,23 @@
 		t.Errorf("the next attempt goes out %v after the end of the one before", d)
 	}
 }
+
+// A read that ends while its attempt covers it leaves a state that nothing covers: it is let
+// go at once, whatever becomes of the call that waits for a connection.
+func TestAReadThatEndsUnderCoverIsLetGo(t *testing.T) {
+	read := make(chan struct{})
+	f := &fake{cut: make(chan struct{})}
+	defer close(f.cut)
+	f.script = func(Attempt) (Stream, *Result) {
+		<-read
+		return ended(ringdale.StatusRead)
+	}
+	core := newCore(t, f)
+	if a, _, _ := Await(t.Context(), core, ask("free", 300*time.Millisecond)); a.Verdict != Refused {
+		t.Fatalf("answer %+v", a)
+	}
+	calls := func() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.released) }
+	playback.Eventually(t, "the cover's call, and the one for a stray state", func() bool { return calls() == 2 })
+	close(read)
+	playback.Eventually(t, "a call for the state that was read", func() bool { return calls() == 3 })
+}
