--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -941,18 +941,18 @@
 	return max(min(best, q.Prompt-1), 0)
 }
 
-// home names two readers at which to expect the text of a session that this router has not seen: the
-// same at every router, by rendezvous hash. A shared beginning has more homes the more requests begin
-// with it; among many routers, which know too little of the load to choose by it, its share of the readers.
-// The session picks by the plan's weights. It does harm where a home has just lost its text.
+// home names two readers at which to expect the text of a session that this router has not
+// seen: the same at every router, by rendezvous hash. A shared beginning has more homes the
+// more requests begin with it; the session picks among them by the plan's weights. It does
+// harm where a home has just lost its text.
 func (r *Router) home(q *request, pool []*worker) (home, spare *worker) {
 	text := cmp.Or(q.Prefix, q.Session)
 	if text == "" || len(pool) == 0 {
 		return nil, nil
 	}
-	sure := r.seen[q.Prefix] - 0.7*math.Sqrt(r.seen[q.Prefix]) // what chance alone would not bring
+	sure := r.seen[q.Prefix] - max(1, 0.7*math.Sqrt(r.seen[q.Prefix])) // what chance would not bring
 	share := max(0, sure) / max(r.seen[""], seenLeast)
-	homes := 2 + int(share*max(1, homeParts/float64(1+r.set.Routers/ownEnough))*float64(len(pool)))
+	homes := 2 + int(share*homeParts*float64(len(pool))) // one, a spare and more for a hot one
 	ranked := slices.Clone(pool)
 	if homes < len(pool) {
 		of := make(map[*worker]float64, len(pool))
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -849,6 +849,32 @@
 	}
 }
 
+// To have seen a text once says nothing of its share: each of many routers would give every
+// rare text more homes, and each home would have to read it first.
+func TestATextSeenOnceHasNoMoreHomesThanAny(t *testing.T) {
+	servers := []ServerInfo{server("w", "w", 0)}
+	for i := range 90 {
+		servers = append(servers, server(fmt.Sprint("r", i), "r", 0))
+	}
+	at, again := map[string]bool{}, map[string]bool{}
+	for i, r := range fleet(t, 200, testSettings(), servers...) {
+		q := ask(RequestID(i), 4000)
+		q.Prefix, q.PrefixLen, q.Session = "rare", 3500, fmt.Sprint("s", i)
+		at[sent(t, r.Handle(ms, q))] = true
+		for range 20 { // often enough to be hot
+			r.count("hot")
+		}
+		q.ID, q.Prefix = RequestID(1000+i), "hot"
+		again[sent(t, r.Handle(2*ms, q))] = true
+	}
+	if len(at) > 2 {
+		t.Errorf("a text seen once was sent to %d readers, want 2 at most", len(at))
+	}
+	if len(again) < 10 {
+		t.Errorf("a hot text was sent to %d readers, want many", len(again))
+	}
+}
+
 // Reads follow the writers of their cells, and what is over goes to cells that lack readers.
 func TestReadsAndAnswersAreSpreadEvenlyOverUnevenCells(t *testing.T) {
 	var servers []ServerInfo
