--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -177,6 +177,7 @@
 func (p *Platform) Settings() ringdale.Settings {
 	s := p.Options.Settings()
 	s.CanRetryAfter = true
+	s.SendDelay = wire.Micros(p.Options.Limits.ConnTimeout) // a connection may have to come up first
 	if s.MaxRetryAfter <= 0 {
 		s.MaxRetryAfter = 2 * time.Second
 	}
--- a/ringdale/api.go
+++ b/ringdale/api.go
@@ -99,6 +99,7 @@
 	Fall         time.Duration // span over which a cold server's load is counted
 	FallMultiple float64       // times its capacity that makes it fall over
 	PinLimit     time.Duration // longest a state may wait with no attempt out
+	SendDelay    time.Duration // longest from a Send to its arrival: what may not come late is not sent
 	Tick         time.Duration // least interval between events
 }
 
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -409,7 +409,7 @@
 	}
 	for _, k := range q.risks {
 		switch {
-		case q.class.Effect == EffectSingleShot, r.now-k.sent >= q.class.Window,
+		case q.class.Effect == EffectSingleShot, r.now+r.set.SendDelay-k.sent >= q.class.Window,
 			q.class.Group == GroupZone && k.zone != w.Zone, q.class.Group == GroupCell && k.cell != w.Cell:
 			return false
 		}
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -875,6 +875,30 @@
 	}
 }
 
+// A repeat of a guarded request must arrive within the window that opened with the first
+// attempt: one that could come late, as its connection has yet to come up, is not sent.
+func TestAGuardedRepeatArrivesWithinItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		delay, at Time
+		repeated  bool
+	}{
+		{0, 900 * ms, true},
+		{0, 1000 * ms, false},
+		{250 * ms, 700 * ms, true},
+		{250 * ms, 750 * ms, false},
+		{250 * ms, 900 * ms, false},
+	} {
+		set := testSettings()
+		set.SendDelay = c.delay
+		class := &Class{Name: "g", Aim: time.Second, Effect: EffectGuarded, Group: GroupAll, Window: time.Second}
+		r := &Router{set: set, now: c.at}
+		q := &request{class: class, risks: []risk{{sent: 0}}}
+		if got := r.mayRun(q, &worker{}); got != c.repeated {
+			t.Errorf("delay %v, %v after the first attempt: %v", c.delay, c.at, got)
+		}
+	}
+}
+
 // Reads follow the writers of their cells, and what is over goes to cells that lack readers.
 func TestReadsAndAnswersAreSpreadEvenlyOverUnevenCells(t *testing.T) {
 	var servers []ServerInfo
