A leaving gateway waits no longer for covers than for other releases

Cause, found by reading the change again: an attempt that covers a state behind a cut has its release tried for 15 s, and core.releaseAt counted it among what Drain waits for; with an engine cut off a gateway that was told to end stayed 15 s instead of 2. Change: Drain waits for it as long as for any other release (four times the pin limit), and the cover itself goes on while the process lives. Measured: the new check fails without the change (0 of 32 covers left when Drain returns, after 15 s).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -398,7 +399,7 @@
 	if at.ended && r.Status == ringdale.StatusRead && q.answered {
 		// Its answer came while it covered what is held: it covers nothing any more, and the
 		// connection that brought it is the surest way to its engine.
-		c.releaseAt(at.server, q.Wire, c.fig.PinLimit*releaseLimit, nil, nil)
+		c.releaseAt(at.server, q.Wire, c.fig.PinLimit*releaseLimit, nil)
 	}
 	if at.ended || q.streaming == at {
 		return
@@ -520,7 +521,6 @@
 		c.settling = c.settling[1:]
 		switch {
 		case q.out > 0:
-			c.uncover(q)
 		case q.answered:
 			c.release(q, c.fig.PinLimit*releaseLimit)
 			if c.requests[q.ID] == q {
@@ -574,15 +574,10 @@
 	cover := c.covered(q)
 	for name, m := range q.held {
 		if name == cover {
-			at := q.cover
+			c.releaseAt(m, q.Wire, within, q.cover)
 			q.cover = nil
-			c.covers++
-			c.releaseAt(m, q.Wire, max(within, coverLimit), at.cancel, func() {
-				c.covers--
-				at.cancel()
-			})
 		} else {
-			c.releaseAt(m, q.Wire, within, nil, nil)
+			c.releaseAt(m, q.Wire, within, nil)
 		}
 		if q.unsure[name] && q.answered {
 			// The engine may see the closed connection only after the release, and
@@ -590,7 +585,7 @@
 			c.releases++
 			c.after(strayAgain, func() {
 				c.releases--
-				c.releaseAt(m, q.Wire, within, nil, nil)
+				c.releaseAt(m, q.Wire, within, nil)
 			})
 		}
 	}
@@ -598,16 +593,25 @@
 	q.holder = ""
 }
 
-// releaseAt tells one engine. up may be nil; see Engine. over, if not nil, is called when
-// the engine has been told or the time is over.
-func (c *Core) releaseAt(m Member, wire string, within time.Duration, up, over func()) {
+// releaseAt tells one engine. An attempt that covers what is held there, nil for none, stays
+// out until the engine is reached, but who waits for the last releases waits no longer for it.
+func (c *Core) releaseAt(m Member, wire string, within time.Duration, cover *attempt) {
 	c.releases++
 	c.counts["releases"]++
-	c.engine.Release(m, wire, time.Now().Add(within), up, func(err error) {
+	over := sync.OnceFunc(func() { c.releases-- })
+	var up func()
+	until := time.Now().Add(within)
+	if cover != nil {
+		c.covers++
+		up, until = cover.cancel, time.Now().Add(max(within, coverLimit))
+		c.after(within, over)
+	}
+	c.engine.Release(m, wire, until, up, func(err error) {
 		c.post(func() {
-			c.releases--
-			if over != nil {
-				over()
+			over()
+			if cover != nil {
+				c.covers--
+				cover.cancel()
 			}
 			if err != nil {
 				c.counts["releases failed"]++
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -49,13 +49,18 @@
 	}
 }
 
-func (f *fake) Release(m Member, wire string, _ time.Time, up func(), done func(error)) {
+func (f *fake) Release(m Member, wire string, until time.Time, up func(), done func(error)) {
 	f.mu.Lock()
 	f.released = append(f.released, m.Name)
 	f.mu.Unlock()
 	go func() {
 		if f.cut != nil {
-			<-f.cut
+			select {
+			case <-f.cut:
+			case <-time.After(time.Until(until)):
+				done(errors.New("not reached"))
+				return
+			}
 		}
 		if up != nil {
 			up()
@@ -64,10 +69,11 @@
 	}()
 }
 
-func (f *fake) closes() int {
+// tally returns how many attempts were made and closed, and how many releases.
+func (f *fake) tally() (attempts, closed, released int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.closed
+	return len(f.attempts), f.closed, len(f.released)
 }
 
 func (f *fake) Probe(Member, func(ringdale.Status, *ringdale.Report)) {}
@@ -430,27 +436,28 @@
 			}
 			playback.Eventually(t, "the reader is told to let go", func() bool { return f.has("r1") })
 			core.Counts(t.Context())
-			if n := f.closes(); (n == len(f.attempts)-1) != c.covered {
-				t.Errorf("%d of %d attempts are closed before the reader is reached", n, len(f.attempts))
+			if all, closed, _ := f.tally(); (closed == all-1) != c.covered {
+				t.Errorf("%d of %d attempts are closed before the reader is reached", closed, all)
 			}
 			close(f.cut)
 			if err := core.Drain(t.Context()); err != nil {
 				t.Fatal(err)
 			}
-			if n := f.closes(); n < len(f.attempts) {
-				t.Errorf("%d of %d attempts are closed after it has let go", n, len(f.attempts))
+			if all, closed, _ := f.tally(); closed < all {
+				t.Errorf("%d of %d attempts are closed after it has let go", closed, all)
 			}
 		})
 	}
 }
 
-// Attempts that cover what is held are bounded: each keeps a connection.
+// Attempts that cover what is held are bounded: each keeps a connection. A gateway that
+// leaves waits no longer for them than for other releases.
 func TestCoversAreBounded(t *testing.T) {
 	f := &fake{script: func(Attempt) (Stream, *Result) { return nil, nil }, cut: make(chan struct{})}
 	defer close(f.cut)
 	core := newCore(t, f)
-	sent := func() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.attempts) }
-	for round := 0; sent() <= coverMost; round++ { // some are refused as they would wait too long
+	all, closed := 0, 0
+	for round := 0; all <= coverMost; round++ { // some are refused as they would wait too long
 		var group sync.WaitGroup
 		for i := range coverMost {
 			q := ask("free", 300*time.Millisecond)
@@ -458,12 +465,17 @@
 			group.Go(func() { Await(t.Context(), core, q) })
 		}
 		group.Wait()
+		core.Counts(t.Context()) // what has been answered is settled
+		all, closed, _ = f.tally()
 	}
-	core.Counts(t.Context()) // what has been answered is settled
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if open := len(f.attempts) - f.closed; len(f.attempts) <= coverMost || open != coverMost {
-		t.Errorf("%d of %d attempts are still open, want %d", open, len(f.attempts), coverMost)
+	if all-closed != coverMost {
+		t.Errorf("%d of %d attempts are still open, want %d", all-closed, all, coverMost)
+	}
+	if err := core.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if _, closed, _ = f.tally(); all-closed != coverMost {
+		t.Errorf("the core has waited until only %d attempts cover what is held", all-closed)
 	}
 }
 
@@ -485,7 +497,7 @@
 		t.Errorf("verdict %v, %v after the attempt's end", a.Verdict, d)
 	}
 	go Await(t.Context(), core, ask("free", time.Minute))
-	playback.Eventually(t, "its first attempt is out", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return len(f.attempts) == 2 })
+	playback.Eventually(t, "its first attempt is out", func() bool { all, _, _ := f.tally(); return all == 2 })
 	core.post(func() {
 		for _, q := range core.requests {
 			core.end(q, q.attempts[0], Result{Status: ringdale.StatusCancelled})
@@ -510,8 +522,8 @@
 	if a, _, _ := Await(t.Context(), core, ask("free", 300*time.Millisecond)); a.Verdict != Refused {
 		t.Fatalf("answer %+v", a)
 	}
-	calls := func() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.released) }
-	playback.Eventually(t, "the cover's call, and the one for a stray state", func() bool { return calls() == 2 })
+	calls := func(n int) func() bool { return func() bool { _, _, released := f.tally(); return released == n } }
+	playback.Eventually(t, "the cover's call, and the one for a stray state", calls(2))
 	close(read)
-	playback.Eventually(t, "a call for the state that was read", func() bool { return calls() == 3 })
+	playback.Eventually(t, "a call for the state that was read", calls(3))
 }
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -435,20 +435,24 @@
 // no effect but that, so it may be sent again.
 func (e *Engine) Release(at core.Member, wire string, until time.Time, up func(), done func(error)) {
 	call, given := e.dialect(at.Kind).Release(wire)
-	var once sync.Once
-	reached := func() {
-		if up != nil {
-			once.Do(up)
+	take := e.pool.get
+	if up != nil {
+		up = sync.OnceFunc(up)
+		take = func(ctx context.Context, addr string) (*conn, error) {
+			c, err := e.pool.sure(ctx, addr)
+			if err == nil {
+				up()
+			}
+			return c, err
 		}
 	}
 	go func() {
 		if !given {
-			reached()
 			done(nil)
 			return
 		}
 		for pause := releasePause; ; pause = min(2*pause, releaseWait) {
-			_, _, err := e.exchange(at.Addr, call, releaseWait, false, up != nil, reached)
+			_, _, err := e.exchange(at.Addr, call, releaseWait, take, e.pool.put)
 			if err == nil || time.Now().Add(pause).After(until) {
 				done(err)
 				return
@@ -466,7 +470,7 @@
 			done(ringdale.StatusUnsent, nil)
 			return
 		}
-		resp, body, err := e.exchange(at.Addr, call, probeWait, true, false, func() {})
+		resp, body, err := e.exchange(at.Addr, call, probeWait, e.pool.get, e.pool.putBrief)
 		if err != nil {
 			done(ringdale.StatusNoConnect, nil)
 			return
@@ -476,21 +480,15 @@
 	}()
 }
 
-// exchange makes a short call that has no effect worth counting. A brief one keeps
-// a connection that it opened for a moment only; see putBrief. A sure one goes out on no
-// connection that may have fallen silent unseen. Reached is called before the call is written.
-func (e *Engine) exchange(addr string, call Call, wait time.Duration, brief, sure bool, reached func()) (*http.Response, []byte, error) {
+// exchange makes a short call that has no effect worth counting, on a connection that take
+// gets; put gives it back.
+func (e *Engine) exchange(addr string, call Call, wait time.Duration, take func(context.Context, string) (*conn, error), put func(*conn)) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	take := e.pool.get
-	if sure {
-		take = e.pool.sure
-	}
 	c, err := take(ctx, addr)
 	if err != nil {
 		return nil, nil, err
 	}
-	reached()
 	c.SetDeadline(time.Now().Add(wait))
 	if err := write(c, call); err != nil {
 		e.pool.drop(c)
@@ -506,10 +504,6 @@
 		e.pool.drop(c)
 		return resp, body, err
 	}
-	if brief {
-		e.pool.putBrief(c)
-	} else {
-		e.pool.put(c)
-	}
+	put(c)
 	return resp, body, nil
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,20 +9,25 @@
 )
 
 // A connection that its engine has closed, or may close at any moment, would end
-// the next request in a reset, and a place-order in a failure.
+// the next request in a reset, and a place-order in a failure. On one that has been idle nothing
+// shows a cut: who must know that the engine is reached gets another one.
 func TestStaleConnectionsAreNotUsed(t *testing.T) {
 	server := playback.NewEngine(t, func(playback.Call) string { return playback.Cut })
 	for _, c := range []struct {
 		name   string
 		spoil  func(*conn)
+		take   func(*Pool, context.Context, string) (*conn, error)
 		reused bool
 	}{
-		{"fresh", func(*conn) {}, true},
+		{"fresh", func(*conn) {}, (*Pool).get, true},
+		{"fresh, surely reached", func(c *conn) { c.idle = time.Now().Add(time.Minute) }, (*Pool).sure, true},
+		{"idle for a moment", func(c *conn) { c.idle = time.Now().Add(-2 * sureIdle) }, (*Pool).get, true},
+		{"idle for a moment, surely reached", func(c *conn) { c.idle = time.Now().Add(-2 * sureIdle) }, (*Pool).sure, false},
 		{"closed by the engine", func(c *conn) {
 			c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
 			playback.Eventually(t, "the close arrives", func() bool { return !quiet(c.Conn) })
-		}, false},
-		{"near the idle limit", func(c *conn) { c.idle = time.Now().Add(-31 * time.Second) }, false},
+		}, (*Pool).get, false},
+		{"near the idle limit", func(c *conn) { c.idle = time.Now().Add(-31 * time.Second) }, (*Pool).get, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := NewPool(Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, MaxConns: 1})
@@ -31,7 +37,7 @@
 			}
 			p.put(first)
 			c.spoil(first)
-			second, err := p.get(t.Context(), server.Addr)
+			second, err := c.take(p, t.Context(), server.Addr)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -68,24 +74,3 @@
 		t.Errorf("a connection that had carried work is retired at %v", taken.until)
 	}
 }
-
-// On a connection that has been idle nothing shows a cut: who must know that an engine is
-// reached gets another one.
-func TestAnIdleConnectionProvesNothing(t *testing.T) {
-	server := playback.NewEngine(t, func(playback.Call) string { return playback.Cut })
-	for _, idle := range []time.Duration{0, 2 * sureIdle} {
-		p := NewPool(Options{ConnectTimeout: time.Second, ConnIdle: time.Minute})
-		kept, err := p.get(t.Context(), server.Addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		p.put(kept)
-		kept.idle = time.Now().Add(time.Minute - idle) // the test may be held up meanwhile
-		if idle > 0 {
-			kept.idle = time.Now().Add(-idle)
-		}
-		if c, err := p.sure(t.Context(), server.Addr); err != nil || (c == kept) != (idle == 0) {
-			t.Errorf("idle for %v: the same connection %v, %v", idle, c == kept, err)
-		}
-	}
-}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -143,40 +143,45 @@
 	playback.Eventually(t, "the connection closes", func() bool { return len(server.Dropped()) == 1 })
 }
 
-func TestReleaseIsTriedAgain(t *testing.T) {
-	server := playback.NewEngine(t, func(c playback.Call) string {
-		if c.N < 3 {
-			return playback.Cut
-		}
-		return "HTTP/1.1 204 No Content\r\n\r\n"
-	})
+// release lets go of what an engine holds, trying until a time.
+func release(t *testing.T, addr string, until time.Time, up func()) error {
 	done := make(chan error, 1)
-	engine(t).Release(core.Member{Addr: server.Addr}, "id1", time.Now().Add(time.Minute), nil, func(err error) { done <- err })
-	if err := <-done; err != nil {
-		t.Error(err)
-	}
-	if calls := server.Calls("DELETE"); len(calls) != 3 || calls[0].Path != "/bootstrap/rooms/id1" {
-		t.Errorf("calls %+v", calls)
-	}
+	engine(t).Release(core.Member{Addr: addr}, "id1", until, up, func(err error) { done <- err })
+	return <-done
 }
 
-// An engine that is not reached is not let go of as if it were: what covers the state stays
-// until a connection is up.
-func TestReleaseTellsWhenTheEngineIsReached(t *testing.T) {
-	server := playback.NewEngine(t, func(playback.Call) string { return "HTTP/1.1 204 No Content\r\n\r\n" })
-	e, done, calls := engine(t), make(chan error, 1), -1
-	e.Release(core.Member{Addr: server.Addr}, "id1", time.Now().Add(time.Minute), func() { calls = len(server.Calls("DELETE")) }, func(err error) { done <- err })
-	if err := <-done; err != nil || calls != 0 {
-		t.Errorf("reached after %d calls, %v; want it before the first", calls, err)
+// It is tried until the engine has been told. What covers a state may go once a connection
+// is up, before the first try, and not while there is none.
+func TestReleaseIsTriedAgain(t *testing.T) {
+	for _, up := range []bool{false, true} {
+		server := playback.NewEngine(t, func(c playback.Call) string {
+			if c.N < 3 {
+				return playback.Cut
+			}
+			return "HTTP/1.1 204 No Content\r\n\r\n"
+		})
+		var reached []int // calls so far
+		tell := func() { reached = append(reached, len(server.Calls("DELETE"))) }
+		want := []int{0}
+		if !up {
+			tell, want = nil, nil
+		}
+		if err := release(t, server.Addr, time.Now().Add(time.Minute), tell); err != nil {
+			t.Error(err)
+		}
+		if calls := server.Calls("DELETE"); len(calls) != 3 || calls[0].Path != "/bootstrap/rooms/id1" {
+			t.Errorf("calls %+v", calls)
+		}
+		if diff := cmp.Diff(want, reached); diff != "" {
+			t.Errorf("reached (-want +got):\n%s", diff)
+		}
 	}
 	closed, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	closed.Close()
-	up := func() { t.Error("reached, though nobody listens") }
-	e.Release(core.Member{Addr: closed.Addr().String()}, "id2", time.Now(), up, func(err error) { done <- err })
-	if err := <-done; err == nil {
+	if err := release(t, closed.Addr().String(), time.Now(), func() { t.Error("reached, though nobody listens") }); err == nil {
 		t.Error("let go, though nobody listens")
 	}
 }
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -826,14 +826,19 @@
 	}
 }
 
-// Each router would learn a kept text anew; they must expect it at the same reader.
-func TestRoutersExpectATextAtTheSameReader(t *testing.T) {
+// readers returns a writer and n readers.
+func readers(n int) []ServerInfo {
 	servers := []ServerInfo{server("w", "w", 0)}
-	for i := range 20 {
+	for i := range n {
 		servers = append(servers, server(fmt.Sprint("r", i), "r", 0))
 	}
+	return servers
+}
+
+// Each router would learn a kept text anew; they must expect it at the same reader.
+func TestRoutersExpectATextAtTheSameReader(t *testing.T) {
 	perText := map[string]map[string]bool{}
-	for i, r := range fleet(t, 60, testSettings(), servers...) {
+	for i, r := range fleet(t, 60, testSettings(), readers(20)...) {
 		q := ask(RequestID(i), 4000)
 		q.Prefix, q.PrefixLen = fmt.Sprint("p", i%2), 3500
 		to := sent(t, r.Handle(ms, q))
@@ -852,12 +857,8 @@
 // To have seen a text once says nothing of its share: each of many routers would give every
 // rare text more homes, and each home would have to read it first.
 func TestATextSeenOnceHasNoMoreHomesThanAny(t *testing.T) {
-	servers := []ServerInfo{server("w", "w", 0)}
-	for i := range 90 {
-		servers = append(servers, server(fmt.Sprint("r", i), "r", 0))
-	}
 	at, again := map[string]bool{}, map[string]bool{}
-	for i, r := range fleet(t, 200, testSettings(), servers...) {
+	for i, r := range fleet(t, 200, testSettings(), readers(90)...) {
 		q := ask(RequestID(i), 4000)
 		q.Prefix, q.PrefixLen, q.Session = "rare", 3500, fmt.Sprint("s", i)
 		at[sent(t, r.Handle(ms, q))] = true
