A watch on discovery reads lists that come indented

Change: the library's decoder reads the stream; every byte counts as a sign of life as each line did, a list is bounded by 4 MiB as before, one that is no list ends the watch. Measured: the test fails without the change.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -132,6 +132,41 @@
 	}
 }
 
+// Lists may come indented, over several lines and in pieces; a watch reads them all the same,
+// and one that is no list ends it.
+func TestAWatchReadsIndentedLists(t *testing.T) {
+	var mu sync.Mutex
+	var asked, got []string
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		asked = append(asked, r.URL.RawQuery)
+		n := len(asked)
+		mu.Unlock()
+		if n == 1 {
+			for _, piece := range []string{"\n{\n  \"revision\": 43,\n", "\n", "  \"complete\": false,\n  \"members\": [\n    {\n      \"id\": \"a\",\n      \"phase\": \"leaving\"\n    }\n  ]\n}\n",
+				`{"revision":44,"complete":false,"members":[{"id":"b","phase":"active"}]}` + "\n", "[]\n"} {
+				io.WriteString(w, piece)
+				w.(http.Flusher).Flush()
+			}
+		}
+		<-r.Context().Done()
+	}))
+	defer discovery.Close()
+	defer discovery.CloseClientConnections()
+	w := NewWatch(discovery.Listener.Addr().String(), false, 0, told(&mu, &got), slog.New(slog.DiscardHandler))
+	go w.Run(t.Context(), list(41, true, "a active 0"))
+	playback.Eventually(t, "a second watch", func() bool { mu.Lock(); defer mu.Unlock(); return len(asked) >= 2 })
+	mu.Lock()
+	defer mu.Unlock()
+	want := []string{
+		fmt.Sprint(ringdale.RosterCached, "a", ringdale.PhaseOn), fmt.Sprint(ringdale.RosterChanges, "a", ringdale.PhaseDraining),
+		fmt.Sprint(ringdale.RosterChanges, "b", ringdale.PhaseOn),
+	}
+	if diff := cmp.Diff(want, got); diff != "" || asked[1] != "watch=1&after=44" {
+		t.Errorf("asked %v, told (-want +got):\n%s", asked, diff)
+	}
+}
+
 // told returns a roster's receiver that notes each entry in got, as scope, name and phase.
 func told(mu *sync.Mutex, got *[]string) func(ringdale.RosterScope, []core.Member) {
 	return func(scope ringdale.RosterScope, members []core.Member) {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -1,9 +1,8 @@
 package platform
 
 import (
-	"bufio"
-	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -286,16 +285,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("watch: status %d", resp.StatusCode)
 	}
-	scan := bufio.NewScanner(resp.Body)
-	scan.Buffer(nil, maxList)
-	for scan.Scan() {
-		silence.Reset(w.pace.Silence)
-		line := bytes.TrimSpace(scan.Bytes())
-		if len(line) == 0 {
-			continue
-		}
+	from := &heard{r: resp.Body, silence: silence, span: w.pace.Silence}
+	for lists := jsoniter.NewDecoder(from); ; {
+		from.left = maxList
 		var l config.List
-		if err := jsoniter.Unmarshal(line, &l); err != nil {
+		if err := lists.Decode(&l); errors.Is(err, io.EOF) {
+			return lines, io.EOF
+		} else if err != nil {
 			return lines, fmt.Errorf("watch: %w", err)
 		}
 		lines++
@@ -304,8 +300,26 @@
 			w.tell(ringdale.RosterChanges, changed)
 		}
 	}
-	if err := scan.Err(); err != nil {
-		return lines, fmt.Errorf("watch: %w", err)
+}
+
+// heard reads a watch. All that comes, an empty line too, is a sign of life.
+type heard struct {
+	r       io.Reader
+	silence *time.Timer
+	span    time.Duration
+	left    int // bytes that the list under way may still have
+}
+
+func (h *heard) Read(p []byte) (int, error) {
+	if h.left <= 0 {
+		return 0, errList
+	}
+	n, err := h.r.Read(p[:min(len(p), h.left)])
+	if n > 0 {
+		h.silence.Reset(h.span)
+		h.left -= n
 	}
-	return lines, io.EOF
+	return n, err
 }
+
+var errList = errors.New("a list is too long")
