A connection is shut before its request is read, or not at all; late ones are not sent

Two lines were at fault. core.submit, with the end told, still gave a request to the module, which sent it, and withdrew it in the next line: what comes after the end is now refused and makes no attempt (ringdale.onRequest). And net/http's Shutdown closes a connection by a state that it sets only once a whole head has been read: bytes read in between belong to a request that nobody can be answered for. The listener now reads, and decides that a connection rests, under one lock, looks for bytes that nobody has read first, and reads nothing afterwards. A close ends the sending first and the connection 250 ms later: over unread bytes it reset the connection, and the client could lose the answer before it.

Ruled out: that a read after close() took place (a trial with every step logged showed none).

--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -332,7 +332,8 @@
 	if !g.resume || inherited != nil {
 		f.Close()
 	}
-	g.leave(ctx, srv, c, f, inherited != nil)
+	g.leave(ctx, srv, clients, c, f, inherited != nil)
+	_ = srv.Close()
 	checks.Log(g.log)
 	stop()
 	select { // a listing elsewhere is to be taken off, the last good view written
@@ -373,7 +374,7 @@
 //
 // On an inherited socket the next version takes new clients at once, so nothing
 // new is waited for: what is in hand is finished before the kill.
-func (g *gateway) leave(ctx context.Context, srv *http.Server, c *core.Core, f front, handed bool) {
+func (g *gateway) leave(ctx context.Context, srv *http.Server, clients *intake.Listener, c *core.Core, f front, handed bool) {
 	kill := time.Now().Add(min(g.longest, longestWait) + killAfter - beforeKill)
 	finish, done := ctx, context.CancelFunc(func() {})
 	if handed {
@@ -391,9 +392,11 @@
 	f.Close()
 	if time.Now().After(kill) {
 		c.Abandon()
-		time.Sleep(lastAnswers)
+		var done context.CancelFunc
+		finish, done = context.WithTimeout(ctx, lastAnswers)
+		defer done()
 	}
-	if err := srv.Shutdown(finish); err != nil {
+	if err := clients.Shutdown(finish); err != nil {
 		g.log.Warn("time is up", "cause", err, "counts", c.Counts(ctx))
 		c.Abandon()
 		srv.Close()
@@ -404,6 +407,7 @@
 	if err := c.Drain(finish); err != nil {
 		g.log.Warn("requests left behind", "cause", err)
 	}
+	_ = clients.Shutdown(finish) // the last answers are given time to arrive
 	g.log.Info("left", "counts", c.Counts(ctx))
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,7 +52,6 @@
 	drained  []chan struct{}
 	counts   map[string]int
 	traffic  map[string]*Traffic // by class
-	closing  bool                // see Abandon
 	lastBusy time.Time           // a request came, or was seen in hand
 }
 
@@ -148,10 +147,7 @@
 // Abandon has the module give up every request that still waits, and all that come
 // from now on, as the gateway has no time left. Streams are the fronts' to end.
 func (c *Core) Abandon() {
-	c.post(func() {
-		c.closing = true
-		c.tell(ringdale.Closing{})
-	})
+	c.post(func() { c.tell(ringdale.Closing{}) })
 }
 
 // Quiet returns for how long no request has come and none has been in hand.
@@ -319,9 +315,6 @@
 	c.after(time.Until(q.deadline)+c.fig.Slack, func() { c.overdue(q) })
 	in.TTL = time.Until(q.deadline)
 	c.tell(in.Request)
-	if c.closing {
-		c.tell(ringdale.Closing{})
-	}
 }
 
 // send makes an attempt, or says at once that it was not made.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -213,12 +213,16 @@
 			return len(f.attempts) == map[string]int{"r": 1, "w": 2}[kind]
 		})
 		core.Abandon()
+		before, _, _ := f.tally()
 		if a := <-w; a.Verdict != want {
 			t.Errorf("at %s: %+v, want %v", kind, a, want)
 		}
 		if a, _, _ := Await(t.Context(), core, Request{Wire: "late", Arrived: time.Now(), Request: ask("once", time.Minute).Request}); a.Verdict != Refused {
 			t.Errorf("a late one: %+v", a)
 		}
+		if after, _, _ := f.tally(); after != before {
+			t.Errorf("%d attempts for a request that came after the end was told", after-before)
+		}
 		if err := core.Drain(t.Context()); err != nil || !f.has("r1") {
 			t.Errorf("%v; released at %v", err, f.released)
 		}
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -1,9 +1,12 @@
 package intake
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +17,9 @@
 	silentGrace = 300 * time.Millisecond // a new connection has this long to bring its request
 	idleGrace   = 2 * time.Second        // and one that has had an answer, to bring the next
 	evictTries  = 8                      // connections looked at to make room for one
+	lingerFor   = 250 * time.Millisecond // from the end of the sending to the close: a client's answer has arrived
+	restLeast   = time.Millisecond       // pauses between looks for connections to shut
+	restMost    = 20 * time.Millisecond
 )
 
 // Listener accepts clients' connections, so many at once. When all are taken it
@@ -40,7 +46,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: nc, from: l, since: time.Now()}
+		c := newConn(nc, l)
 		l.mu.Lock()
 		room := len(l.open) < l.limit || l.evict()
 		if room {
@@ -64,6 +70,37 @@
 	}
 }
 
+// Shutdown takes no more connections and waits until none is open or ctx ends. One that
+// rests is shut at once, any other when the front has answered its request with the word
+// that it was the last. Unlike net/http's own it never shuts one whose request has been
+// read: that one would be carried out with nobody left to answer.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	_ = l.Close()
+	for pause := restLeast; ; pause = min(2*pause, restMost) {
+		l.mu.Lock()
+		now := time.Now()
+		var resting []*Conn
+		for c := range l.open {
+			if c.rest(now, silentGrace) {
+				resting = append(resting, c)
+			}
+		}
+		left := len(l.open)
+		l.mu.Unlock()
+		for _, c := range resting {
+			_ = c.Close()
+		}
+		if left == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pause):
+		}
+	}
+}
+
 // evict closes the connection that is missed least. The lock is held. Only the one
 // chosen is looked at on its socket: to look at all takes a call each, which under a
 // flood of newcomers cost over a third of the gateway's time.
@@ -81,7 +118,7 @@
 		if last == nil {
 			return false
 		}
-		if worst.between && unread(last.Conn) { // its request has come and will be read
+		if worst.between && !last.rest(now, 0) { // its request has come and will be read
 			spared[last] = true
 			continue
 		}
@@ -106,6 +143,7 @@
 type Conn struct {
 	net.Conn
 	from *Listener
+	raw  syscall.RawConn // nil for a connection of another make than the system's
 
 	mu       sync.Mutex
 	frame    framing
@@ -113,6 +151,26 @@
 	since    time.Time // the connection came, or its last answer left
 	spoilt   bool
 	poison   []byte // what net/http reads in place of what must not be read
+	heard    bool   // something has been read
+	gone     bool   // the client has ended its sending, or the connection is broken
+	shut     bool   // nothing more is read: what comes is for the client to send again
+	half     bool   // net/http has ended the sending and waited
+	closing  bool   // Close has been called
+
+	// Of the read under way; there is one at a time.
+	step func(fd uintptr) bool
+	into []byte
+	n    int
+	err  error
+}
+
+func newConn(nc net.Conn, l *Listener) *Conn {
+	c := &Conn{Conn: nc, from: l, since: time.Now()}
+	if sc, ok := nc.(syscall.Conn); ok {
+		c.raw, _ = sc.SyscallConn()
+	}
+	c.step = c.readStep
+	return c
 }
 
 // waits tells how long the connection has been without a request in hand, and
@@ -120,12 +178,12 @@
 func (c *Conn) waits(now time.Time) (wait, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.frame.complete > c.answered {
+	if c.frame.complete > c.answered && !c.closing {
 		return wait{}, false
 	}
 	w := wait{rank: 2, age: now.Sub(c.since), between: c.frame.between() && !c.spoilt}
 	switch {
-	case c.answered == 0 && w.age > silentGrace:
+	case c.shut || c.answered == 0 && w.age > silentGrace:
 		w.rank = 0
 	case w.age > idleGrace:
 		w.rank = 1
@@ -144,33 +202,112 @@
 			}
 			return n, nil
 		}
-		n, err := c.Conn.Read(p)
-		c.mu.Lock()
-		good, ferr := c.frame.next(p[:n])
-		if ferr != nil {
-			c.spoilt, c.poison = true, []byte("\x00\r\n\r\n")
-		}
-		c.mu.Unlock()
-		if ferr == nil {
-			return n, err
+		c.into = p
+		if c.raw == nil {
+			n, err := c.Conn.Read(p)
+			c.mu.Lock()
+			if c.take(n, err); c.shut {
+				c.n, c.err = 0, net.ErrClosed
+			}
+			c.mu.Unlock()
+		} else if err := c.raw.Read(c.step); err != nil {
+			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
 		}
-		if good > 0 {
-			return good, nil
+		if !c.spoilt || c.n > 0 {
+			return c.n, c.err
 		}
 	}
 }
 
+// readStep takes what has come. What is read belongs to a request in hand from the same
+// moment on: a connection is shut before its bytes are read, or not at all.
+func (c *Conn) readStep(fd uintptr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut {
+		c.n, c.err = 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: net.ErrClosed}
+		return true
+	}
+	n, err := syscall.Read(int(fd), c.into)
+	for errors.Is(err, syscall.EINTR) {
+		n, err = syscall.Read(int(fd), c.into)
+	}
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return false
+	case err != nil:
+		err = &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+	case n == 0 && len(c.into) > 0:
+		err = io.EOF
+	}
+	c.take(max(n, 0), err)
+	return true
+}
+
+// take follows the frames of what has been read. The lock is held.
+func (c *Conn) take(n int, err error) {
+	c.heard = c.heard || n > 0
+	good, ferr := c.frame.next(c.into[:n])
+	if c.n, c.err = n, err; ferr != nil {
+		c.spoilt, c.poison = true, []byte("\x00\r\n\r\n")
+		c.n, c.err = good, nil
+	}
+	if timeout := net.Error(nil); err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+		c.gone = true
+	}
+}
+
+// rest shuts a connection on which no request is in hand or on its way, and tells
+// whether it did. One that has yet to bring its first is spared while newer than spare.
+func (c *Conn) rest(now time.Time, spare time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fresh := c.answered == 0 && now.Sub(c.since) < spare
+	if c.shut || c.closing { // a lingering one gives way to others
+		return true
+	}
+	if fresh || c.frame.complete > c.answered || !c.frame.between() || c.spoilt || unread(c.Conn) {
+		return false
+	}
+	c.shut = true
+	return true
+}
+
 // CloseWrite ends the sending alone, so that a client that still sends gets to
 // read its error; net/http looks for it.
 func (c *Conn) CloseWrite() error {
+	c.mu.Lock()
+	c.shut, c.half = true, true
+	c.mu.Unlock()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return nil
 }
 
-// Close makes room for another.
+// Close ends the connection. Where its client may still send, only the sending ends at
+// first: to close over bytes that nobody has read resets a connection, and its client may
+// lose an answer that has come but is not read yet.
 func (c *Conn) Close() error {
+	c.mu.Lock()
+	linger := !c.half && !c.gone && c.heard
+	again := c.closing
+	c.shut, c.closing = true, true
+	c.mu.Unlock()
+	if again {
+		return nil
+	}
+	half, can := c.Conn.(interface{ CloseWrite() error })
+	if !linger || !can || half.CloseWrite() != nil {
+		return c.end()
+	}
+	_ = c.SetReadDeadline(time.Now()) // whoever reads learns of it now
+	time.AfterFunc(lingerFor, func() { _ = c.end() })
+	return nil
+}
+
+// end closes the connection and makes room for another.
+func (c *Conn) end() error {
 	c.from.mu.Lock()
 	delete(c.from.open, c)
 	c.from.mu.Unlock()
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -84,8 +84,10 @@
 }
 
 // got reads one answer's body, or that there is none.
-func got(c net.Conn) string {
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+func got(c net.Conn) string { return next(bufio.NewReader(c)) }
+
+func next(in *bufio.Reader) string {
+	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
 		return "none"
 	}
@@ -160,6 +162,149 @@
 	}
 }
 
+// moment returns a listener and the server's and the client's end of one connection.
+func moment(t *testing.T) (*Listener, *Conn, net.Conn) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { inner.Close() })
+	l := NewListener(inner, 3)
+	client := dial(t, inner.Addr().String(), "")
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, c.(*Conn), client
+}
+
+// A request that comes in the moment in which its connection is shut is read and kept, or
+// never read: there is no third.
+func TestAConnectionIsShutBeforeItsRequestIsReadOrNotAtAll(t *testing.T) {
+	const ask = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	read := make([]byte, 256)
+
+	_, c, client := moment(t)
+	io.WriteString(client, ask)
+	playback.Eventually(t, "the request is there", func() bool { return unread(c.Conn) })
+	if c.rest(time.Now(), 0) {
+		t.Error("shut over a request that nobody has read")
+	}
+	if n, err := c.Read(read); n != len(ask) || err != nil {
+		t.Errorf("read %d, %v", n, err)
+	}
+	if c.rest(time.Now(), 0) {
+		t.Error("shut with a request in hand")
+	}
+
+	_, c, client = moment(t)
+	io.WriteString(client, ask[:1])
+	if n, err := c.Read(read); n != 1 || err != nil || c.rest(time.Now(), 0) {
+		t.Errorf("read %d, %v; or shut with a byte of a request read", n, err)
+	}
+
+	l, c, client := moment(t)
+	done := make(chan error)
+	go func() { // as net/http waits on a resting connection
+		n, err := c.Read(read)
+		if n > 0 {
+			err = nil
+		}
+		done <- err
+	}()
+	if !c.rest(time.Now(), 0) {
+		t.Error("a resting connection is not shut")
+	}
+	io.WriteString(client, ask) // crosses the close
+	if err := <-done; err == nil {
+		t.Error("read a request on a connection that it had shut")
+	}
+	c.Close()
+	if a := got(client); a != "none" {
+		t.Errorf("got %q", a)
+	}
+	if len(l.open) != 0 {
+		t.Errorf("%d connections open", len(l.open))
+	}
+}
+
+// What is in hand when the server shuts is answered, a request of which one byte has come
+// included; a connection that rests ends, a new one once its request had time to come.
+func TestShutdownAnswersWhatHasBegunToCome(t *testing.T) {
+	l, waiting, answer := serve(t, 8)
+	addr := l.Addr().String()
+	inHand := dial(t, addr, "GET /wait HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	<-waiting
+	begun := dial(t, addr, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+	in := bufio.NewReader(begun)
+	if a := next(in); a != "/a" {
+		t.Fatalf("got %q", a)
+	}
+	resting := dial(t, addr, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n")
+	rest := bufio.NewReader(resting)
+	if a := next(rest); a != "/b" {
+		t.Fatalf("got %q", a)
+	}
+	fresh := dial(t, addr, "")
+	io.WriteString(begun, "G")
+	playback.Eventually(t, "all are accepted, and the byte is read", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		part := false
+		for c := range l.open {
+			c.mu.Lock()
+			part = part || !c.frame.between()
+			c.mu.Unlock()
+		}
+		return part && len(l.open) == 4
+	})
+	done := make(chan error)
+	go func() { done <- l.Shutdown(t.Context()) }()
+	if a := next(rest); a != "none" {
+		t.Errorf("the resting one got %q", a)
+	}
+	io.WriteString(begun, "ET /c HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	if a := next(in); a != "/c" {
+		t.Errorf("what had begun to come got %q", a)
+	}
+	if a := got(fresh); a != "none" {
+		t.Errorf("the new one got %q", a)
+	}
+	close(answer)
+	if a := got(inHand); a != "/wait" {
+		t.Errorf("what was in hand got %q", a)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// An answer reaches a client that still sends: the close does not reset the connection
+// under it, whatever has come and is not read.
+func TestACloseOverUnreadBytesLosesNoAnswer(t *testing.T) {
+	_, c, client := moment(t)
+	io.WriteString(client, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	if _, err := c.Read(make([]byte, 256)); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
+	io.WriteString(client, "GET /next HTTP/1.1\r\n")
+	playback.Eventually(t, "the next request is there", func() bool { return unread(c.Conn) })
+	c.Close()
+	in := bufio.NewReader(client)
+	if a := next(in); a != "ok" {
+		t.Errorf("got %q", a)
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("then %v, not the end of the sending", err)
+	}
+	playback.Eventually(t, "then it is closed", func() bool {
+		c.from.mu.Lock()
+		defer c.from.mu.Unlock()
+		return len(c.from.open) == 0
+	})
+}
+
 // An error whose request's body never comes is not held back for it.
 func TestRejectDoesNotWaitForTheBody(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/ringdale/api.go
+++ b/ringdale/api.go
@@ -213,7 +213,8 @@
 // Peers reports how many routers share the pools from now on.
 type Peers struct{ Routers int }
 
-// Closing reports that the gateway is about to end and answers nothing more.
+// Closing reports that the gateway is about to end: nothing more is sent, and what comes
+// from now on is refused.
 type Closing struct{}
 
 // TimerFired reports that a timer is due.
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -131,7 +131,7 @@
 	}
 	q := &request{Request: e, class: class, deadline: r.now + e.TTL, since: r.now, most: r.set.MaxAttempts}
 	r.reqs[e.ID] = q
-	if class == nil {
+	if class == nil || r.closing { // what is sent now would only be withdrawn
 		r.giveUp(q, 0)
 		return
 	}
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -173,6 +173,7 @@
 	turned  map[string]float64 // share of attempts turned away as full, by rateKey
 	topGain float64
 	calling bool
+	closing bool // see Closing
 	callAt  Time
 	ticking bool
 }
@@ -198,6 +199,7 @@
 	case Peers:
 		r.onPeers(e.Routers)
 	case Closing:
+		r.closing = true
 		r.onClosing()
 	case ProbeResult:
 		r.onProbed(e)
