A given-up attempt covers what is held until the next one has its connection

At fault: core.send closed the attempt before (afterEnd) as soon as another was decided on.

Now the attempt before is closed when the next one's connection is there and nothing has been written to it; one that never comes up leaves the cover as it was. What an engine is told as its time is what is left when the request is written, not when its connection was begun.

TestAnAttemptThatNeverComesUpLeavesTheCoverBeforeIt fails without it (2 and 3 attempts closed).

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -97,6 +97,9 @@
 	To      Member
 	Limit   time.Duration // how long the gateway will wait
 	Payload Payload
+	// Connected is called once there is a connection and before anything is written to
+	// it, which waits for its return; nil for nothing to wait for.
+	Connected func()
 }
 
 // Engine makes attempts. No method blocks; what comes of a call is told later,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -80,7 +80,9 @@
 	sent   time.Time
 	ended  bool
 	begun  bool // its answer has
-	cancel func()
+	// connected is set once it may have gone out; see Core.connected.
+	connected bool
+	cancel    func()
 }
 
 // New returns a core round a router. Run must be called for it to work.
@@ -344,16 +346,34 @@
 		c.release(q, c.fig.PinLimit*releaseLimit)
 	}
 	c.after(limit, func() { c.end(q, at, Result{Status: ringdale.StatusTimeout}) })
-	c.afterEnd(q, func() {
+	out := Attempt{Wire: q.Wire, Number: at.number, To: m, Limit: limit, Payload: q.Payload}
+	if at.connected = q.cover == nil; !at.connected {
+		out.Connected = func() { c.connected(q, at) }
+	}
+	at.cancel = c.engine.Start(
+		out,
+		func(s Stream) { c.post(func() { c.first(q, at, s) }) },
+		func(r Result) { c.post(func() { c.end(q, at, r) }) },
+	)
+}
+
+// connected has the attempt before closed now that the next one can go out, and returns
+// when the two can't meet any more. Until then the one before covers what is held: the
+// next may never come up.
+func (c *Core) connected(q *request, at *attempt) {
+	clear := make(chan struct{})
+	c.post(func() {
 		if at.ended {
+			close(clear)
 			return
 		}
-		at.cancel = c.engine.Start(
-			Attempt{Wire: q.Wire, Number: at.number, To: m, Limit: limit, Payload: q.Payload},
-			func(s Stream) { c.post(func() { c.first(q, at, s) }) },
-			func(r Result) { c.post(func() { c.end(q, at, r) }) },
-		)
+		at.connected = true
+		c.afterEnd(q, func() { close(clear) })
 	})
+	select {
+	case <-clear:
+	case <-c.done:
+	}
 }
 
 // first gives an attempt's stream to the client, if the client still waits for it.
@@ -404,7 +424,8 @@
 	default:
 		q.ran = true
 	}
-	if !at.begun && (r.Status == ringdale.StatusCancelled || r.Status == ringdale.StatusTimeout) {
+	givenUp := r.Status == ringdale.StatusCancelled || r.Status == ringdale.StatusTimeout
+	if givenUp && !at.begun && at.connected {
 		c.uncover(q)
 		q.cover = at
 	} else {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -24,7 +24,8 @@
 	closed   int
 	lastEnd  time.Time // when an attempt was closed last
 	released []string
-	cut      chan struct{} // if set, no engine is reached by a release before it is closed
+	away     func(a Attempt) bool // if set, tells whose engine no connection comes up to
+	cut      chan struct{}        // if set, no engine is reached by a release before it is closed
 }
 
 func (f *fake) Start(a Attempt, first func(Stream), ended func(Result)) func() {
@@ -32,6 +33,9 @@
 	f.attempts = append(f.attempts, a.To.Name)
 	f.mu.Unlock()
 	go func() {
+		if a.Connected != nil && (f.away == nil || !f.away(a)) {
+			a.Connected()
+		}
 		if s, r := f.script(a); s != nil {
 			first(s)
 		} else if r != nil {
@@ -456,6 +460,58 @@
 
 // Attempts that cover what is held are bounded: each keeps a connection. A gateway that
 // leaves waits no longer for them than for other releases.
+// A writer that is silent is given up, the next one's connection never comes up: until that
+// would have been there, and after, the one given up answers for the state that was read.
+func TestAnAttemptThatNeverComesUpLeavesTheCoverBeforeIt(t *testing.T) {
+	f := &fake{cut: make(chan struct{})}
+	second := make(chan struct{})
+	f.away = func(a Attempt) bool { return a.Number >= 2 }
+	f.script = func(a Attempt) (Stream, *Result) {
+		switch {
+		case a.To.Kind == "r":
+			return ended(ringdale.StatusRead)
+		case a.Number == 1:
+			return nil, nil
+		}
+		<-second
+		return ended(ringdale.StatusNoConnect)
+	}
+	core := newCore(t, f)
+	answered := make(chan Answer, 1)
+	go func() {
+		a, _, _ := Await(t.Context(), core, ask("free", time.Minute))
+		answered <- a
+	}()
+	out := func(n int) func() bool { return func() bool { all, _, _ := f.tally(); return all == n } }
+	playback.Eventually(t, "the writer's attempt is out", out(2))
+	core.post(func() {
+		for _, q := range core.requests {
+			core.end(q, q.attempts[1], Result{Status: ringdale.StatusTimeout})
+		}
+	})
+	playback.Eventually(t, "the next one is begun", out(3))
+	core.Counts(t.Context())
+	if _, closed, _ := f.tally(); closed != 1 { // the read, which ended by itself
+		t.Errorf("%d attempts are closed before the next has a connection, want 1", closed)
+	}
+	close(second)
+	if a := <-answered; a.Verdict == Serving {
+		t.Fatalf("answer %+v", a)
+	}
+	playback.Eventually(t, "the reader is told to let go", func() bool { return f.has("r1") })
+	core.Counts(t.Context())
+	if all, closed, _ := f.tally(); closed != all-1 {
+		t.Errorf("%d of %d attempts are closed before the reader is reached", closed, all)
+	}
+	close(f.cut)
+	if err := core.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if all, closed, _ := f.tally(); closed < all {
+		t.Errorf("%d of %d attempts are closed after it has let go", closed, all)
+	}
+}
+
 func TestCoversAreBounded(t *testing.T) {
 	f := &fake{script: func(Attempt) (Stream, *Result) { return nil, nil }, cut: make(chan struct{})}
 	defer close(f.cut)
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -141,7 +141,8 @@
 		t.done(false)
 		return nil, core.Result{Status: s, Cause: err}
 	}
-	until := time.Now().Add(a.Limit + leakGuard)
+	begun := time.Now()
+	until := begun.Add(a.Limit + leakGuard)
 	c, err := e.pool.get(ctx, a.To.Addr)
 	if err != nil {
 		return fail(ringdale.StatusNoConnect, err)
@@ -150,7 +151,11 @@
 		e.pool.drop(c)
 		return fail(ringdale.StatusCancelled, context.Canceled)
 	}
+	if a.Connected != nil {
+		a.Connected()
+	}
 	c.SetDeadline(until)
+	a.Limit -= time.Since(begun) // what is left is what its engine is told
 	// An attempt counts once its last byte is out. It is never sent again from
 	// here, not even after a reset on a kept connection: only the module knows
 	// whether the class allows that.
