Half of a first event that breaks off fails the attempt; it is no longer passed on

At fault: sieve.left and sieve.take. A line that begins with "data:" counted as an event that had begun, before its end and even where a reset had cut it in the middle. So the attempt became the client's, half an event was passed on, and a request that could go elsewhere was lost.

An answer has now begun when an event with data has ended by its empty line, or the framed stream itself has ended. What a break cuts off before that fails the attempt as a reset.

--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -349,7 +349,7 @@
 		err = junk
 	}
 	if err != nil && (errors.Is(err, io.EOF) || broken(err) == ringdale.StatusReset) {
-		if rest := s.sieve.left(); len(rest) > 0 { // what has come before a break goes out
+		if rest := s.sieve.left(errors.Is(err, io.EOF) && s.framed()); len(rest) > 0 { // what has come before a break goes out
 			sound = append(slices.Clone(sound), rest...)
 		}
 	}
@@ -404,11 +404,14 @@
 
 var lastEvent = []byte("data: [DONE]")
 
+// framed tells whether the stream's end is told otherwise than by the connection's.
+func (s *stream) framed() bool { return s.resp.ContentLength >= 0 || len(s.resp.TransferEncoding) > 0 }
+
 func (s *stream) finish(err error) error {
 	if s.ended {
 		return err
 	}
-	framed := s.resp.ContentLength >= 0 || len(s.resp.TransferEncoding) > 0
+	framed := s.framed()
 	if errors.Is(err, io.EOF) && !framed && !bytes.Contains(s.tail, lastEvent) {
 		err = io.ErrUnexpectedEOF
 	}
--- a/internal/upstream/sieve.go
+++ b/internal/upstream/sieve.go
@@ -16,7 +16,8 @@
 // puts other bytes in the place of events.
 type sieve struct {
 	rest  []byte // of a line that has not ended
-	begun bool   // an event's data has passed
+	begun bool   // a whole event with data has passed
+	data  bool   // data of the event under way has
 	later bool   // the first line has passed, which alone may begin with a byte order mark
 }
 
@@ -44,7 +45,7 @@
 		if line[len(line)-1] != '\n' {
 			break
 		}
-		s.begun = s.begun || bytes.HasPrefix(line, []byte("data:"))
+		s.event(line)
 		s.later = true
 		sound += size
 	}
@@ -59,11 +60,23 @@
 	return p[:sound], nil
 }
 
-// left returns a last line that its end has not followed.
-func (s *sieve) left() []byte {
+// event follows where events end: an empty line ends one. Half of one is nothing that a
+// client could make anything of.
+func (s *sieve) event(line []byte) {
+	if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		s.data = s.data || bytes.HasPrefix(line, []byte("data:"))
+		return
+	}
+	s.begun = s.begun || s.data
+	s.data = false
+}
+
+// left returns a last line that its end has not followed. Where the stream itself is whole,
+// its end stands for the event's.
+func (s *sieve) left(whole bool) []byte {
 	rest := s.rest
 	s.rest = nil
-	s.begun = s.begun || bytes.HasPrefix(rest, []byte("data:"))
+	s.begun = s.begun || whole && (s.data || bytes.HasPrefix(rest, []byte("data:")))
 	return rest
 }
 
