A client that sent ahead is seen to go, and one that has left is not served

Found by reading: net/http reads one byte past the request in hand and then nothing, so the end of a client that has sent more (a pipeline, half a next request) is never seen: its request waits, is read, goes on to a writer and is answered to nobody. And a request that lay in the socket while its client gave up was read and sent on at once.

The connection now looks every 40 ms, by poll, whether such a client has ended (intake/left.go), and ends the context of its requests; a body is not taken once its client has left. Tests: TestAClientThatSentAheadIsSeenToGo (never ends without the watch), TestARequestWhoseClientHasLeftIsNotTaken.

--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -308,7 +308,7 @@
 		}
 	}
 	g.operate(ctx, c, f, srv, handOver)
-	srv.ConnState = clients.State
+	srv.ConnState, srv.ConnContext = clients.State, clients.ConnContext
 	go g.reloads(ctx, hup) // to the very end: SIGHUP may come while the gateway leaves
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(clients) }()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -67,7 +67,7 @@
 		n, err = from.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 	}
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) && !left(r.Context()) {
 		return body, free, nil
 	}
 	free()
--- /dev/null
+++ b/internal/intake/left.go
@@ -0,0 +1,83 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// lookEvery is how often a client that has sent ahead is looked at while its request is in
+// hand: a request that nobody waits for must not be sent on 100 ms later.
+const lookEvery = 40 * time.Millisecond
+
+type connKey struct{}
+
+// ConnContext is net/http's: the context of a connection's requests ends once its client is
+// known to have gone. net/http itself reads on only to the first byte of a next request, so
+// that it never sees the end of a client that has sent more.
+func (l *Listener) ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	c, ok := nc.(*Conn)
+	if !ok {
+		return ctx
+	}
+	ctx, stop := context.WithCancel(ctx)
+	c.mu.Lock()
+	c.stop = stop
+	c.mu.Unlock()
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// left tells whether the client of a request has gone, by its connection as it is now: a
+// request may have waited to be read for longer than its client waited for an answer.
+func left(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	return ok && c.hungUp()
+}
+
+// watch has the client looked at where it has sent more than the request in hand. The lock
+// is held.
+func (c *Conn) watch() {
+	ahead := c.frame.complete > c.answered+1 || c.frame.complete > c.answered && !c.frame.between()
+	if ahead && !c.watched && !c.closing {
+		c.watched = true
+		time.AfterFunc(lookEvery, c.look)
+	}
+}
+
+func (c *Conn) look() {
+	gone := c.hungUp()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watched = false; gone {
+		c.gone = true
+		if c.stop != nil {
+			c.stop()
+		}
+		return
+	}
+	c.watch()
+}
+
+// hungUp tells whether the client has ended its sending or the connection is broken,
+// whatever has come before that and is not read.
+func (c *Conn) hungUp() bool {
+	if c.raw == nil {
+		return false
+	}
+	is := false
+	err := c.raw.Control(func(fd uintptr) {
+		for {
+			at := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+			n, err := unix.Poll(at, 0)
+			if errors.Is(err, unix.EINTR) {
+				continue
+			}
+			is = n > 0 && err == nil && at[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+			return
+		}
+	})
+	return err != nil || is
+}
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -156,6 +156,8 @@
 	shut     bool   // nothing more is read: what comes is for the client to send again
 	half     bool   // net/http has ended the sending and waited
 	closing  bool   // Close has been called
+	watched  bool   // see watch
+	stop     func() // ends the context of its requests; nil for none
 
 	// Of the read under way; there is one at a time.
 	step func(fd uintptr) bool
@@ -252,6 +254,7 @@
 		c.spoilt, c.poison = true, []byte("\x00\r\n\r\n")
 		c.n, c.err = good, nil
 	}
+	c.watch()
 	if timeout := net.Error(nil); err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
 		c.gone = true
 	}
@@ -311,6 +314,12 @@
 	c.from.mu.Lock()
 	delete(c.from.open, c)
 	c.from.mu.Unlock()
+	c.mu.Lock()
+	stop := c.stop
+	c.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -66,7 +66,7 @@
 		io.WriteString(w, r.URL.Path)
 	}))
 	l = NewListener(s.Listener, limit)
-	s.Listener, s.Config.ConnState = l, l.State
+	s.Listener, s.Config.ConnState, s.Config.ConnContext = l, l.State, l.ConnContext
 	s.Start()
 	t.Cleanup(s.Close)
 	return l, waiting, answer
@@ -305,6 +305,51 @@
 	})
 }
 
+// A client that has gone before its whole request was read is not served: the request may
+// have waited in the socket for long.
+func TestARequestWhoseClientHasLeftIsNotTaken(t *testing.T) {
+	read := make(chan error)
+	var l *Listener
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := r.Context().Value(connKey{}).(*Conn)
+		playback.Eventually(t, "the client's end arrives", c.hungUp)
+		_, _, err := NewBudget(1<<20).Read(w, r)
+		read <- err
+	}))
+	l = NewListener(s.Listener, 4)
+	s.Listener, s.Config.ConnContext = l, l.ConnContext
+	s.Start()
+	t.Cleanup(s.Close)
+	dial(t, l.Addr().String(), "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc").Close()
+	if err := <-read; err != ErrCut {
+		t.Errorf("read: %v", err)
+	}
+}
+
+// A client that sends much at once and goes is known to have gone while its first request
+// is in hand, though what it sent ahead is never read.
+func TestAClientThatSentAheadIsSeenToGo(t *testing.T) {
+	waiting, ended, enough := make(chan bool, 200), make(chan bool, 200), make(chan struct{})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		waiting <- true
+		select {
+		case <-r.Context().Done():
+			ended <- true
+		case <-enough:
+		}
+	}))
+	l := NewListener(s.Listener, 4)
+	s.Listener, s.Config.ConnState, s.Config.ConnContext = l, l.State, l.ConnContext
+	s.Start()
+	t.Cleanup(s.Close)
+	c := dial(t, l.Addr().String(), "GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-waiting
+	io.WriteString(c, strings.Repeat("GET /b HTTP/1.1\r\nHost: x\r\n\r\n", 100))
+	c.Close()
+	defer close(enough)
+	playback.Eventually(t, "the request ends", func() bool { return len(ended) > 0 })
+}
+
 // An error whose request's body never comes is not held back for it.
 func TestRejectDoesNotWaitForTheBody(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -221,7 +221,7 @@
 	server := httptest.NewUnstartedServer(f)
 	server.Config.ErrorLog = slog.NewLogLogger(log.Handler(), 0)
 	clients := intake.NewListener(server.Listener, 64)
-	server.Listener, server.Config.ConnState = clients, clients.State
+	server.Listener, server.Config.ConnState, server.Config.ConnContext = clients, clients.State, clients.ConnContext
 	server.Start()
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String(), r, w, c, f
