What is out at a writer when a gateway ends is waited for, not failed at once

Seen by a new test of several programs, TestARollLosesNoRequest: three gateways told to end and started anew in turn under twelve clients. Where clients ask for the rest of streams, 8 of 10,741 orders were answered 502 in the moment in which their gateway's time was up. At fault: ringdale.onClosing gave up every attempt, also those at a writer, which may have run, so that they can't be refused, and which answer within milliseconds.

Closing now has two steps: what can be refused is, at once, and nothing more is sent; what is out at a writer has 250 ms more, and 50 ms are kept for the last words before the sockets go. TestAbandonWaitsForWhatAWriterMayAnswer; TestAbandonRefusesWhatHasNotRun asks for the last step. TestReadyWhateverDiscoveryDoes covers a start with discovery away, silent, refusing, with nonsense or an old list.

--- /dev/null
+++ b/cmd/wellgw/moments_test.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"wellgw/internal/playback"
+)
+
+// platformFile is a gateway's object with one reader and one writer as last known.
+func platformFile(t *testing.T, name, discovery, settings string, reader, writer *playback.Engine) string {
+	return file(t, fmt.Sprintf(`{"name":%q,"listen":"127.0.0.1:0","discovery":%q,"settings":%s,
+		"known":{"revision":1,"complete":true,"members":[
+			{"id":"r1","host_port":%q,"locality":"a","flavor":"r","phase":"active"},
+			{"id":"w1","host_port":%q,"locality":"a","flavor":"w","phase":"active"}]}}`,
+		name, discovery, settings, reader.Addr, writer.Addr))
+}
+
+// A process that starts is ready by the list as last held, whatever discovery does, and
+// serves: none that is up serves nobody.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	reader := playback.NewEngine(t, until(read))
+	writer := playback.NewEngine(t, until(func() string { return playback.Stream(2, 0) }))
+	held := make(chan struct{})
+	server := func(h http.HandlerFunc) string {
+		s := httptest.NewServer(h)
+		t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+		return s.Listener.Addr().String()
+	}
+	hold := func(r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-held:
+		}
+	}
+	for name, addr := range map[string]string{
+		"away":     "127.0.0.1:1",
+		"silent":   server(func(_ http.ResponseWriter, r *http.Request) { hold(r) }),
+		"refusing": server(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }),
+		"nonsense": server(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, `{"revision":"x","members":[}`) }),
+		"an old list": server(func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, "{\n \"revision\": 0,\n \"complete\": true,\n \"members\": []\n}\n")
+			w.(http.Flusher).Flush()
+			hold(r)
+		}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			cmd, url := serving(t, []string{"EDGE_CONFIG=" + platformFile(t, "n1", addr, settings, reader, writer)}, "serve")
+			healthy(t, url)
+			resp, err := http.DefaultClient.Do(post(t, url))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if b, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK || !strings.HasSuffix(string(b), "data: [DONE]\n\n") {
+				t.Errorf("status %d, %q, %v", resp.StatusCode, b, err)
+			}
+			cmd.Process.Signal(syscall.SIGTERM)
+			if err := cmd.Wait(); err != nil {
+				t.Errorf("exit: %v", err)
+			}
+		})
+	}
+	close(held)
+}
+
+// rollers are the clients of a roll. Each keeps a connection for as long as its gateway
+// does, and sends a request once more, elsewhere, only where the connection ended with no
+// byte of an answer.
+type rollers struct {
+	t       *testing.T
+	mu      sync.Mutex
+	addrs   []string
+	refused atomic.Int64
+	served  atomic.Int64
+	again   atomic.Int64
+}
+
+func (c *rollers) addr(n int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addrs[n%len(c.addrs)]
+}
+
+// run asks one request after another until stop is closed.
+func (c *rollers) run(n int, stop <-chan struct{}) {
+	var conn net.Conn
+	var in *bufio.Reader
+	for k := 0; ; k++ {
+		select {
+		case <-stop:
+			if conn != nil {
+				conn.Close()
+			}
+			return
+		default:
+		}
+		id := fmt.Sprintf("c%d-%d", n, k)
+		done := false
+		for try := range 8 { // a gateway that has just left may still be named for a moment
+			if conn == nil {
+				nc, err := net.Dial("tcp", c.addr(n+try))
+				if err != nil {
+					time.Sleep(20 * time.Millisecond) // its place is taken soon
+					continue
+				}
+				conn, in = nc, bufio.NewReader(nc)
+			}
+			conn.SetDeadline(time.Now().Add(30 * time.Second))
+			fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Class: order\r\nX-Key: s%d\r\nX-Deadline-Ms: 2000\r\nX-Extras: prompt_len=100,max_out=50\r\nContent-Length: 2\r\n\r\n{}", id, n)
+			if _, err := in.Peek(1); err != nil {
+				conn.Close()
+				conn = nil
+				c.again.Add(1)
+				continue
+			}
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				c.t.Errorf("%s: half an answer's head: %v", id, err)
+				return
+			}
+			b, err := io.ReadAll(resp.Body)
+			switch {
+			case resp.StatusCode == http.StatusOK && err == nil && strings.HasSuffix(string(b), "data: [DONE]\n\n"):
+				c.served.Add(1)
+			case resp.StatusCode == http.StatusServiceUnavailable && err == nil:
+				c.refused.Add(1)
+			default:
+				c.t.Errorf("%s: status %d, %q, %v", id, resp.StatusCode, b, err)
+			}
+			if done = true; resp.Close {
+				conn.Close()
+				conn = nil
+			}
+			break
+		}
+		if !done {
+			c.t.Errorf("%s: no answer from any gateway", id)
+		}
+	}
+}
+
+// Three gateways are told to end and started anew, one after the other, under clients that
+// send on every connection that stays open, in the very moment of a close too. Every order
+// gets one final answer, and none runs twice.
+func TestARollLosesNoRequest(t *testing.T) {
+	for _, resume := range []string{"false", "true"} {
+		t.Run("resume "+resume, func(t *testing.T) {
+			reader := playback.NewEngine(t, until(read))
+			writer := playback.NewEngine(t, until(func() string { return playback.Stream(3, 0) }))
+			set := strings.NewReplacer(`"balancers":1`, `"balancers":3`, `"hard_limit":60000000`, `"hard_limit":2000000`, `"aim":10000000`, `"aim":1500000`,
+				`"pin_limit"`, `"resume":`+resume+`,"pin_limit"`).Replace(settings)
+			clients := &rollers{t: t}
+			start := func(n int) (*exec.Cmd, string) {
+				cmd, url := serving(t, []string{"EDGE_CONFIG=" + platformFile(t, fmt.Sprint("n", n), "127.0.0.1:1", set, reader, writer)}, "serve")
+				healthy(t, url)
+				return cmd, strings.TrimPrefix(url, "http://")
+			}
+			var programs []*exec.Cmd
+			for n := range 3 {
+				cmd, addr := start(n)
+				programs, clients.addrs = append(programs, cmd), append(clients.addrs, addr)
+			}
+			stop := make(chan struct{})
+			var group sync.WaitGroup
+			for n := range 12 {
+				group.Go(func() { clients.run(n, stop) })
+			}
+			for n, cmd := range programs {
+				seen := clients.served.Load()
+				playback.Eventually(t, "requests are under way", func() bool { return clients.served.Load() > seen+20 })
+				if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+					t.Fatal(err)
+				}
+				if err := cmd.Wait(); err != nil {
+					t.Errorf("exit: %v", err)
+				}
+				next, addr := start(n)
+				clients.mu.Lock()
+				programs[n], clients.addrs[n] = next, addr
+				clients.mu.Unlock()
+			}
+			close(stop)
+			group.Wait()
+			ran := map[string]int{}
+			for _, call := range writer.Calls(http.MethodPost) {
+				if ran[call.ID]++; ran[call.ID] == 2 {
+					t.Errorf("%s ran twice", call.ID)
+				}
+			}
+			t.Logf("%d served, %d refused, %d sent once more", clients.served.Load(), clients.refused.Load(), clients.again.Load())
+			for _, cmd := range programs {
+				cmd.Process.Signal(syscall.SIGTERM)
+			}
+			for _, cmd := range programs {
+				if err := cmd.Wait(); err != nil {
+					t.Errorf("exit: %v", err)
+				}
+			}
+		})
+	}
+}
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -44,7 +44,8 @@
 	beforeKill   = 1100 * time.Millisecond // what is left is ended this much earlier; see leave
 	lastReleases = 500 * time.Millisecond  // for the last states to be let go, the second call included
 	lastWork     = 1500 * time.Millisecond // for what the directory still has to do
-	lastAnswers  = 100 * time.Millisecond  // for the last answers to reach their clients
+	lastAnswers  = 250 * time.Millisecond  // for what is out at writers to be answered
+	lastWords    = 50 * time.Millisecond   // for the last refusals to be written
 
 	// A client that is left waiting for 5 s after a stream's last event has lost it
 	// on the platform. Elsewhere a model may well think for longer.
@@ -391,14 +392,17 @@
 	defer done()
 	f.Close()
 	if time.Now().After(kill) {
-		c.Abandon()
+		c.Abandon(false)
 		var done context.CancelFunc
 		finish, done = context.WithTimeout(ctx, lastAnswers)
 		defer done()
 	}
 	if err := clients.Shutdown(finish); err != nil {
 		g.log.Warn("time is up", "cause", err, "counts", c.Counts(ctx))
-		c.Abandon()
+		c.Abandon(true)
+		last, over := context.WithTimeout(ctx, lastWords)
+		_ = clients.Shutdown(last)
+		over()
 		srv.Close()
 		release, done := context.WithTimeout(ctx, lastReleases)
 		defer done()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -146,10 +146,11 @@
 	}
 }
 
-// Abandon has the module give up every request that still waits, and all that come
-// from now on, as the gateway has no time left. Streams are the fronts' to end.
-func (c *Core) Abandon() {
-	c.post(func() { c.tell(ringdale.Closing{}) })
+// Abandon has the module give up every request that still waits, and all that come from
+// now on, as the gateway has no time left; with last those too that a writer may be about
+// to answer. Streams are the fronts' to end.
+func (c *Core) Abandon(last bool) {
+	c.post(func() { c.tell(ringdale.Closing{Last: last}) })
 }
 
 // Quiet returns for how long no request has come and none has been in hand.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -198,6 +198,39 @@
 	}
 }
 
+// What is out at a writer when the end is told is still answered, and if its attempt fails
+// nothing more is sent for it.
+func TestAbandonWaitsForWhatAWriterMayAnswer(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		answer := make(chan struct{})
+		f := &fake{script: func(a Attempt) (Stream, *Result) {
+			if a.To.Kind == "r" {
+				return ended(ringdale.StatusRead)
+			}
+			if <-answer; fails {
+				return ended(ringdale.StatusFull)
+			}
+			return &text{end: io.EOF}, nil
+		}}
+		core := newCore(t, f)
+		w := make(waiter, 1)
+		core.Submit(ask("once", time.Minute), w)
+		playback.Eventually(t, "it is out at the writer", func() bool { all, _, _ := f.tally(); return all == 2 })
+		core.Abandon(false)
+		if n := core.Counts(t.Context())["open"]; n != 1 || len(w) > 0 {
+			t.Errorf("fails %v: %d open, %d answers", fails, n, len(w))
+		}
+		close(answer)
+		want := map[bool]Verdict{false: Serving, true: Refused}[fails]
+		if a := <-w; a.Verdict != want {
+			t.Errorf("fails %v: %+v, want %v", fails, a, want)
+		}
+		if all, _, _ := f.tally(); all != 2 {
+			t.Errorf("fails %v: %d attempts, want 2", fails, all)
+		}
+	}
+}
+
 // A gateway that ends refuses what can't have run, so that its client may try
 // elsewhere, and promises nothing of what may have.
 func TestAbandonRefusesWhatHasNotRun(t *testing.T) {
@@ -216,7 +249,7 @@
 			defer f.mu.Unlock()
 			return len(f.attempts) == map[string]int{"r": 1, "w": 2}[kind]
 		})
-		core.Abandon()
+		core.Abandon(true)
 		before, _, _ := f.tally()
 		if a := <-w; a.Verdict != want {
 			t.Errorf("at %s: %+v, want %v", kind, a, want)
--- a/ringdale/api.go
+++ b/ringdale/api.go
@@ -214,8 +214,8 @@
 type Peers struct{ Routers int }
 
 // Closing reports that the gateway is about to end: nothing more is sent, and what comes
-// from now on is refused.
-type Closing struct{}
+// from now on is refused. What a writer may be about to answer is waited for until Last.
+type Closing struct{ Last bool }
 
 // TimerFired reports that a timer is due.
 type TimerFired struct{ Name string }
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -370,7 +370,7 @@
 // writer, anything else is read anew, within the retry budget.
 func (r *Router) again(q *request, s Status) {
 	left := q.most - q.attempts
-	spent := left < 1 || left < 2 && q.holder == nil || q.deadline-r.now < leastRemain || s == StatusUnsent
+	spent := left < 1 || left < 2 && q.holder == nil || q.deadline-r.now < leastRemain || s == StatusUnsent || r.closing
 	if spent || len(q.risks) > 0 && q.class.Effect == EffectSingleShot {
 		r.giveUp(q, 0)
 		return
@@ -429,11 +429,11 @@
 	r.close(q)
 }
 
-// onClosing gives up all that has not begun to be answered. Most of it can be
-// refused, so that clients may try elsewhere at once; what may have run can't.
-func (r *Router) onClosing() {
+// onClosing gives up what has not begun to be answered, so that clients may try elsewhere.
+// What is out at a writer may have run, and is soon answered: it is waited for to the last.
+func (r *Router) onClosing(last bool) {
 	for _, id := range slices.Sorted(maps.Keys(r.reqs)) {
-		if q := r.reqs[id]; !q.ended && q.phase != streaming {
+		if q := r.reqs[id]; !q.ended && q.phase != streaming && (last || q.phase != writing) {
 			if q.at != nil {
 				r.cancel(q)
 			}
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -200,7 +200,7 @@
 		r.onPeers(e.Routers)
 	case Closing:
 		r.closing = true
-		r.onClosing()
+		r.onClosing(e.Last)
 	case ProbeResult:
 		r.onProbed(e)
 	case TimerFired:
