A request in hand keeps its class's effect over a reload; like-named tenants share no key

Found by reading what each ending asks of the settings. core.answer asked the module, by class name, whether a refused request may be repeated: after a reload that made an order's class free, an order taken before was refused with its attempt still out. TestARequestKeepsTheSettingsItWasTakenWith fails without it (0 of 1 attempts closed); TestTenantsOfLikeNamesShareNoLimit. ringdale and core pass.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,7 @@
 	Request
 	front     Front
 	deadline  time.Time
+	free      bool // may be repeated at will, by the settings with which it was taken
 	answered  bool // has had its final answer, or its client has gone
 	streaming *attempt
 	stream    Stream
@@ -298,7 +299,7 @@
 	for c.lastID++; c.requests[c.lastID] != nil; c.lastID++ {
 	}
 	in.ID = c.lastID
-	q := &request{Request: in, front: f, deadline: in.Arrived.Add(in.TTL), held: map[string]Member{}, unsure: map[string]bool{}}
+	q := &request{Request: in, front: f, deadline: in.Arrived.Add(in.TTL), free: c.router.Free(in.Class), held: map[string]Member{}, unsure: map[string]bool{}}
 	t.q = q
 	if c.wires[in.Wire] {
 		// Engines know a request by its wire id alone: two at once would share
@@ -475,7 +476,7 @@
 	}
 	c.counts[verdictNames[a.Verdict]]++
 	c.settling = append(c.settling, q)
-	if a.Verdict == Refused && !c.router.Free(q.Class) { // it is said never to have run
+	if a.Verdict == Refused && !q.free { // it is said never to have run
 		c.afterEnd(q, func() { q.front.Answer(a) })
 	} else {
 		q.front.Answer(a)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -94,8 +94,8 @@
 	return false
 }
 
-func newCore(t *testing.T, f *fake) *Core {
-	router, err := ringdale.New(ringdale.Settings{
+func testSettings() ringdale.Settings {
+	return ringdale.Settings{
 		Zones: []string{""}, Routers: 1, MaxAttempts: 4, CanCancel: true, CanRetryAfter: true, MaxRetryAfter: time.Second,
 		Classes: []ringdale.Class{
 			{Name: "free", Aim: 10 * time.Second, Gain: 1},
@@ -103,7 +103,11 @@
 		},
 		Kinds: []ringdale.Kind{{Name: "r", Role: ringdale.RoleReader, Memory: 2e5}, {Name: "w", Role: ringdale.RoleWriter, Memory: 2e5}},
 		Cold:  time.Second, ColdShare: 0.3, Fall: time.Second, FallMultiple: 3, PinLimit: 500 * time.Millisecond,
-	}, 1)
+	}
+}
+
+func newCore(t *testing.T, f *fake) *Core {
+	router, err := ringdale.New(testSettings(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -545,6 +549,28 @@
 	}
 }
 
+// An order that was taken under one configuration is refused by its rules, though another has
+// made its class one that may be repeated meanwhile.
+func TestARequestKeepsTheSettingsItWasTakenWith(t *testing.T) {
+	f := &fake{script: func(Attempt) (Stream, *Result) { return nil, nil }, cut: make(chan struct{})}
+	defer close(f.cut)
+	core := newCore(t, f)
+	w := make(waiter, 1)
+	core.Submit(ask("once", 300*time.Millisecond), w)
+	playback.Eventually(t, "its attempt is out", func() bool { all, _, _ := f.tally(); return all > 0 })
+	next := testSettings()
+	for i := range next.Classes {
+		next.Classes[i].Effect = ringdale.EffectFree
+	}
+	if err := core.Retune(t.Context(), next); err != nil {
+		t.Fatal(err)
+	}
+	a := <-w
+	if all, closed, _ := f.tally(); a.Verdict != Refused || closed != all {
+		t.Errorf("verdict %v with %d of %d attempts closed, want refused with none out", a.Verdict, closed, all)
+	}
+}
+
 func TestCoversAreBounded(t *testing.T) {
 	f := &fake{script: func(Attempt) (Stream, *Result) { return nil, nil }, cut: make(chan struct{})}
 	defer close(f.cut)
--- a/ringdale/policy.go
+++ b/ringdale/policy.go
@@ -370,8 +370,8 @@
 // writer, anything else is read anew, within the retry budget.
 func (r *Router) again(q *request, s Status) {
 	left := q.most - q.attempts
-	spent := left < 1 || left < 2 && q.holder == nil || q.deadline-r.now < leastRemain || s == StatusUnsent || r.closing
-	if spent || len(q.risks) > 0 && q.class.Effect == EffectSingleShot {
+	spent := left < 1 || left < 2 && q.holder == nil || q.deadline-r.now < leastRemain || s == StatusUnsent
+	if spent || r.closing || len(q.risks) > 0 && q.class.Effect == EffectSingleShot {
 		r.giveUp(q, 0)
 		return
 	}
--- a/ringdale/policy_test.go
+++ b/ringdale/policy_test.go
@@ -219,7 +219,7 @@
 func TestWriterInCellThenOut(t *testing.T) {
 	r := router(t, testSettings(), server("a", "r", 1), server("near", "w", 1), server("near2", "w", 1),
 		server("far", "w", 2), server("b", "r", 2))
-	r.workers["b"].fullTo["|c"] = time.Minute // the plan is even; only a reads
+	r.workers["b"].fullTo["\x00c"] = time.Minute // the plan is even; only a reads
 	used := 0.5
 	r.noteReport(r.workers["near"], &Report{Memory: &used})
 	sent(t, r.Handle(ms, ask(1, 500)))
@@ -816,7 +816,7 @@
 	}
 	toCold = 0
 	for i, r := range all {
-		r.workers["a"].fullTo["|c"], r.workers["b"].fullTo["|c"] = time.Hour, time.Hour
+		r.workers["a"].fullTo["\x00c"], r.workers["b"].fullTo["\x00c"] = time.Hour, time.Hour
 		if has[Send](r.Handle(now+time.Millisecond, ask(RequestID(1000+i), 500))) {
 			toCold++
 		}
@@ -951,7 +951,7 @@
 		}
 		q := ask(99, 500)
 		q.Tenant = "y"
-		if at := r.workers["a"]; limited && at.fullTo["y|c"] > r.now {
+		if at := r.workers["a"]; limited && at.fullTo["y\x00c"] > r.now {
 			t.Error("a server that limits one tenant is avoided for another")
 		}
 		sent(t, r.Handle(now+time.Second, q))
@@ -1207,3 +1207,12 @@
 		}
 	}
 }
+
+// What is learned of one tenant's class is never another's, whatever the two are called.
+func TestTenantsOfLikeNamesShareNoLimit(t *testing.T) {
+	one := &request{Request: Request{Tenant: "a|b", Class: "c"}}
+	other := &request{Request: Request{Tenant: "a", Class: "b|c"}}
+	if rateKey(one) == rateKey(other) {
+		t.Errorf("both are %q", rateKey(one))
+	}
+}
--- a/ringdale/state.go
+++ b/ringdale/state.go
@@ -364,8 +364,9 @@
 	r.do(Subscribe{})
 }
 
-// rateKey names what a server may limit the rate of.
-func rateKey(q *request) string { return q.Tenant + "|" + q.Request.Class }
+// rateKey names what a server may limit the rate of. No name holds the byte between the two:
+// tenants and classes of other names never meet in one key.
+func rateKey(q *request) string { return q.Tenant + "\x00" + q.Request.Class }
 
 func (r *Router) onRoster(e Roster) {
 	r.calling = e.Scope != RosterFailed && r.calling
