A test of two gateways of which one loses its engines behind a cut, orders in flight

Need: what several processes do together when the ways between them fail. Two programs before one reader and one writer, connections through lab/faultnet; the cut lasts until a client behind it has its answer. Held: one final answer each, no order twice, the other gateway serves all, every state that was read and not fetched is let go after the cut.

--- a/cmd/wellgw/moments_test.go
+++ b/cmd/wellgw/moments_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os/exec"
+	"path"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"time"
 
 	"wellgw/internal/playback"
+	"wellgw/lab/faultnet"
 )
 
 // platformFile is a gateway's object with one reader and one writer as last known.
@@ -85,6 +87,9 @@
 	refused atomic.Int64
 	served  atomic.Int64
 	again   atomic.Int64
+	failed  atomic.Int64
+	cut     bool // engines may be out of reach: what may have run may fail
+	whole   sync.Map
 }
 
 func (c *rollers) addr(n int) string {
@@ -134,8 +139,11 @@
 			switch {
 			case resp.StatusCode == http.StatusOK && err == nil && strings.HasSuffix(string(b), "data: [DONE]\n\n"):
 				c.served.Add(1)
+				c.whole.Store(id, true)
 			case resp.StatusCode == http.StatusServiceUnavailable && err == nil:
 				c.refused.Add(1)
+			case c.cut && err == nil && (resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusGatewayTimeout):
+				c.failed.Add(1)
 			default:
 				c.t.Errorf("%s: status %d, %q, %v", id, resp.StatusCode, b, err)
 			}
@@ -151,6 +159,92 @@
 	}
 }
 
+// ranOnce tells which orders an engine got twice.
+func ranOnce(t *testing.T, writer *playback.Engine) {
+	t.Helper()
+	ran := map[string]int{}
+	for _, call := range writer.Calls(http.MethodPost) {
+		if ran[call.ID]++; ran[call.ID] == 2 {
+			t.Errorf("%s ran twice", call.ID)
+		}
+	}
+}
+
+// One of two gateways loses both engines behind a cut while orders are in flight: every
+// order gets one final answer, none runs twice, the other gateway's are all served, and
+// once the cut has healed every state that was read and not fetched is let go.
+func TestACutBetweenOneGatewayAndItsEngines(t *testing.T) {
+	reader := playback.NewEngine(t, until(read))
+	writer := playback.NewEngine(t, until(func() string { return playback.Stream(3, 0) }))
+	fabric := faultnet.New(1)
+	t.Cleanup(fabric.Close)
+	fabric.Listens("r", reader.Addr)
+	fabric.Listens("w", writer.Addr)
+	set := strings.NewReplacer(`"balancers":1`, `"balancers":2`, `"hard_limit":60000000`, `"hard_limit":2000000`, `"aim":10000000`, `"aim":1500000`).Replace(settings)
+	way := func(from, to string) *playback.Engine {
+		addr, err := fabric.Dial(from, to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &playback.Engine{Addr: addr}
+	}
+	clients := [2]*rollers{{t: t, cut: true}, {t: t}}
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for g, c := range clients {
+		name := fmt.Sprint("g", g)
+		_, url := serving(t, []string{"EDGE_CONFIG=" + platformFile(t, name, "127.0.0.1:1", set, way(name, "r"), way(name, "w"))}, "serve")
+		healthy(t, url)
+		c.addrs = []string{strings.TrimPrefix(url, "http://")}
+		for n := range 4 {
+			group.Go(func() { c.run(4*g+n, stop) })
+		}
+	}
+	more := func(c *rollers, what string) {
+		t.Helper()
+		seen := c.served.Load()
+		playback.Eventually(t, what, func() bool { return c.served.Load() > seen+20 })
+	}
+	rule := func(r faultnet.Rule) {
+		for _, engine := range []string{"r", "w"} {
+			fabric.Set("g0", engine, r)
+			fabric.Set(engine, "g0", r)
+		}
+	}
+	more(clients[0], "requests are under way")
+	rule(faultnet.Rule{Cut: true})
+	ended := func(c *rollers) int64 { return c.failed.Load() + c.refused.Load() }
+	before := ended(clients[0])
+	playback.Eventually(t, "one behind the cut has its answer", func() bool { return ended(clients[0]) > before })
+	more(clients[1], "the other gateway serves")
+	rule(faultnet.Rule{})
+	more(clients[0], "served again")
+	close(stop)
+	group.Wait()
+	ranOnce(t, writer)
+	if n := ended(clients[1]); n > 0 {
+		t.Errorf("%d of the other gateway's requests were not served", n)
+	}
+	served := func(id string) bool {
+		_, one := clients[0].whole.Load(id)
+		_, two := clients[1].whole.Load(id)
+		return one || two
+	}
+	playback.Eventually(t, "all that was read is fetched or let go", func() bool {
+		gone := map[string]bool{}
+		for _, call := range reader.Calls(http.MethodDelete) {
+			gone[path.Base(call.Path)] = true
+		}
+		for _, call := range reader.Calls(http.MethodPost) {
+			if !served(call.ID) && !gone[call.ID] {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("behind the cut %d served, %d refused, %d failed", clients[0].served.Load(), clients[0].refused.Load(), clients[0].failed.Load())
+}
+
 // Three gateways are told to end and started anew, one after the other, under clients that
 // send on every connection that stays open, in the very moment of a close too. Every order
 // gets one final answer, and none runs twice.
@@ -193,12 +287,7 @@
 			}
 			close(stop)
 			group.Wait()
-			ran := map[string]int{}
-			for _, call := range writer.Calls(http.MethodPost) {
-				if ran[call.ID]++; ran[call.ID] == 2 {
-					t.Errorf("%s ran twice", call.ID)
-				}
-			}
+			ranOnce(t, writer)
 			t.Logf("%d served, %d refused, %d sent once more", clients.served.Load(), clients.refused.Load(), clients.again.Load())
 			for _, cmd := range programs {
 				cmd.Process.Signal(syscall.SIGTERM)
