--- a/internal/playback/playback.go
+++ b/internal/playback/playback.go
@@ -13,6 +13,7 @@
 	"os"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -120,6 +121,7 @@
 	N                      int // from 1, in order of arrival at this engine
 	Method, Path, ID, Body string
 	At                     time.Time
+	Deadline               time.Duration // by X-Deadline-Ms; 0 without one
 }
 
 // Engine is a server on loopback that answers each request by a script: the bytes
@@ -175,6 +177,9 @@
 			return
 		}
 		call := Call{Method: req.Method, Path: req.URL.RequestURI(), ID: req.Header.Get("X-Request-Id"), Body: string(body), At: time.Now()}
+		if ms, err := strconv.Atoi(req.Header.Get("X-Deadline-Ms")); err == nil {
+			call.Deadline = time.Duration(ms) * time.Millisecond
+		}
 		e.mu.Lock()
 		call.N = len(e.calls) + 1
 		e.calls = append(e.calls, call)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -136,6 +136,22 @@
 	}
 }
 
+// An engine is told the time that is left when its request is written: a connection that
+// comes up late, and what is waited for before, have taken their part.
+func TestTheTimeToldIsWhatIsLeft(t *testing.T) {
+	server := playback.NewEngine(t, func(playback.Call) string { return playback.Status(202, "", "{}") })
+	const limit, taken = 10 * time.Second, 60 * time.Millisecond
+	end := make(chan core.Result, 1)
+	engine(t).Start(core.Attempt{
+		Wire: "id1", To: core.Member{Addr: server.Addr}, Limit: limit, Payload: core.Payload{Method: "POST", Target: "/"},
+		Connected: func() { time.Sleep(taken) },
+	}, nil, func(r core.Result) { end <- r })
+	<-end
+	if told := server.Calls("POST")[0].Deadline; told <= 0 || told > limit-taken {
+		t.Errorf("%v told where at most %v are left", told, limit-taken)
+	}
+}
+
 func TestGivingUpClosesTheConnection(t *testing.T) {
 	server := playback.NewEngine(t, func(playback.Call) string { return playback.Hang })
 	cancel := engine(t).Start(core.Attempt{
