A chat request goes by one file of contracts, though another is read while its body comes

Found by reading what a reload crosses: openai.Front took the caller's team from the book before the body was read and the contract from the book after it. A reload in between joined one file's team with the other's contracts: a model that had been renamed was answered 404 to a request taken before, and a team could be served under a contract that its own file never gave it. The book is now taken once a request. TestARequestGoesByOneFile holds the body back by 100-continue across a reload; without the mend it gets 404.

--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -117,7 +117,8 @@
 	rand.Read(raw[:])
 	id := hex.EncodeToString(raw[:])
 	w.Header()["X-Request-Id"] = []string{id}
-	team := f.team(r)
+	b := f.book.Load() // one for the whole request, whatever is read anew meanwhile
+	team := b.team(r)
 	if team == nil {
 		intake.Reject(w, r)
 		w.Header().Set("WWW-Authenticate", "Bearer")
@@ -128,9 +129,9 @@
 	post := slices.Contains([]string{chatPath, completionPath, embeddingPath, responsePath}, r.URL.Path)
 	switch {
 	case post && r.Method == http.MethodPost:
-		f.call(w, r, team, id)
+		f.call(w, r, b, team, id)
 	case (r.URL.Path == modelPath || one) && r.Method == http.MethodGet:
-		f.list(w, team, model, one)
+		b.list(w, team, model, one, f.started)
 	case post || r.URL.Path == modelPath || one:
 		intake.Reject(w, r)
 		w.Header().Set("Allow", map[bool]string{true: http.MethodPost, false: http.MethodGet}[post])
@@ -148,25 +149,25 @@
 	}
 }
 
-func (f *Front) team(r *http.Request) *config.Team {
+// team is the caller's by its key, nil for none.
+func (b *book) team(r *http.Request) *config.Team {
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") {
 		return nil
 	}
-	return f.book.Load().teams[sha256.Sum256([]byte(strings.TrimSpace(key)))]
+	return b.teams[sha256.Sum256([]byte(strings.TrimSpace(key)))]
 }
 
 // list tells of models, and of the contract that each is served under.
-func (f *Front) list(w http.ResponseWriter, team *config.Team, name string, one bool) {
+func (b *book) list(w http.ResponseWriter, team *config.Team, name string, one bool, started time.Time) {
 	all := []any{}
-	b := f.book.Load()
 	for _, m := range b.models {
 		if !slices.Contains(team.Models, m) || one && m != name {
 			continue
 		}
 		c := b.contracts[m]
 		all = append(all, map[string]any{
-			"id": m, "object": "model", "created": f.started.Unix(), "owned_by": "wellgw",
+			"id": m, "object": "model", "created": started.Unix(), "owned_by": "wellgw",
 			"contract": map[string]any{"name": c.Name, "effect": c.Effect, "aim_ms": c.AimMS, "deadline_ms": c.DeadlineMS, "worth": c.Worth},
 		})
 	}
@@ -183,7 +184,7 @@
 }
 
 // call serves one request to a model.
-func (f *Front) call(w http.ResponseWriter, r *http.Request, team *config.Team, id string) {
+func (f *Front) call(w http.ResponseWriter, r *http.Request, b *book, team *config.Team, id string) {
 	arrived := time.Now()
 	raw, free, err := f.bodies.Read(w, r)
 	switch {
@@ -216,7 +217,7 @@
 		badRequest(err.Error(), p.param).send(w)
 		return
 	}
-	contract, known := f.book.Load().contracts[a.model]
+	contract, known := b.contracts[a.model]
 	if !known || !slices.Contains(team.Models, a.model) {
 		noModel(a.model).send(w)
 		return
--- a/internal/openai/front_test.go
+++ b/internal/openai/front_test.go
@@ -1,10 +1,12 @@
 package openai
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
@@ -51,6 +53,11 @@
 
 // serve starts a front by an operator's file.
 func serve(t *testing.T, file string, members []core.Member) (url string, c *core.Core) {
+	url, c, _ = serveFront(t, file, members)
+	return url, c
+}
+
+func serveFront(t *testing.T, file string, members []core.Member) (url string, c *core.Core, f *Front) {
 	o, err := config.ParseOperator([]byte(file))
 	if err != nil {
 		t.Fatal(err)
@@ -74,11 +81,57 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := httptest.NewUnstartedServer(NewFront(Options{Core: c, File: o, Bodies: intake.NewBudget(1 << 20), Keys: keys, Held: 1 << 20}))
+	f = NewFront(Options{Core: c, File: o, Bodies: intake.NewBudget(1 << 20), Keys: keys, Held: 1 << 20})
+	server := httptest.NewUnstartedServer(f)
 	server.Config.ErrorLog = slog.NewLogLogger(log.Handler(), 0)
 	server.Start()
 	t.Cleanup(server.Close)
-	return server.URL, c
+	return server.URL, c, f
+}
+
+// A request goes by one file from its head to its answer, though another is read while its
+// body is on the way: neither the team nor the contract of the other is seen.
+func TestARequestGoesByOneFile(t *testing.T) {
+	e := playback.NewEngine(t, func(playback.Call) string { return playback.Stream(2, 0) })
+	url, _, f := serveFront(t, operator, []core.Member{{ServerInfo: ringdale.ServerInfo{Name: "e1", Kind: config.RoleOpenAI, Zone: "a", Weight: 1}, Addr: e.Addr}})
+	other, err := config.ParseOperator([]byte(strings.NewReplacer(`"k1"`, `"k9"`, `"name": "orders"`, `"name": "works"`, `"parts", "orders", "quick"`, `"parts", "works", "quick"`).Replace(operator)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := func(key, model string, between func()) int {
+		t.Helper()
+		c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(30 * time.Second))
+		body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"x"}]}`, model)
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", chatPath, key, len(body))
+		in := bufio.NewReader(c)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode != http.StatusContinue { // its head was refused
+			return resp.StatusCode
+		}
+		between()
+		io.WriteString(c, body)
+		if resp, err = http.ReadResponse(in, nil); err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode
+	}
+	if code := ask("k1", "orders", func() { f.Reload(other) }); code != http.StatusOK {
+		t.Errorf("taken under the first file: %d", code)
+	}
+	if code := ask("k1", "works", func() {}); code != http.StatusUnauthorized {
+		t.Errorf("by the first file's key after the second was read: %d", code)
+	}
+	if code := ask("k9", "works", func() {}); code != http.StatusOK {
+		t.Errorf("by the second file: %d", code)
+	}
 }
 
 func one(role string, script func(playback.Call) string, t *testing.T) (map[string]*playback.Engine, *playback.Engine) {
