Standby and the time left after a reload close no request; poll without a library

Found by reading what standby and SIGTERM end. A gateway whose settings had been read anew still reckoned its time until the kill by the first ones; with shorter waits since then the kill would come first. timeLeft goes by the shorter; TestTimeLeftGoesByTheSettingsInForce.

--- a/cmd/wellgw/moments_test.go
+++ b/cmd/wellgw/moments_test.go
@@ -300,3 +300,17 @@
 		})
 	}
 }
+
+// A gateway ends in time for the kill by the settings in force: a reload may have made the
+// longest wait shorter. It never takes more than the first ones gave.
+func TestTimeLeftGoesByTheSettingsInForce(t *testing.T) {
+	const s = time.Second
+	for _, c := range []struct{ first, anew, want time.Duration }{
+		{2 * s, 0, 1600 * time.Millisecond}, {2 * s, s, 600 * time.Millisecond}, {2 * s, 4 * s, 1600 * time.Millisecond},
+		{60 * s, 0, 2600 * time.Millisecond}, {60 * s, 4 * s, 2600 * time.Millisecond},
+	} {
+		if got := timeLeft(c.first, c.anew); got != c.want {
+			t.Errorf("waits of %v, then %v: %v, want %v", c.first, c.anew, got, c.want)
+		}
+	}
+}
--- a/cmd/wellgw/operate.go
+++ b/cmd/wellgw/operate.go
@@ -4,15 +4,16 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"wellgw/internal/config"
 	"wellgw/internal/control"
 	"wellgw/internal/core"
 	"wellgw/internal/handfile"
+	"wellgw/internal/intake"
 	"wellgw/internal/operate"
 )
 
@@ -43,7 +44,8 @@
 // the watch on the files shared with another process, the call line where the
 // configuration names one, and the settings taken on SIGHUP. handOver, nil where
 // the clients' socket is not shared, is called once a newer version is ready.
-func (g *gateway) operate(ctx context.Context, c *core.Core, f front, srv *http.Server, handOver func()) {
+func (g *gateway) operate(ctx context.Context, c *core.Core, f front, clients *intake.Listener, handOver func()) {
+	var round atomic.Int64 // of standby; a call ends what the one before began
 	desk := &operate.Desk{
 		Core:  c,
 		Ready: func() bool { return g.serving.Load() != nil && c.Ready() },
@@ -51,7 +53,14 @@
 			if s, ok := f.(standbyFront); ok {
 				s.Standby(on)
 			}
-			srv.SetKeepAlivesEnabled(!on) // off closes the idle connections too
+			if now := round.Add(1); on { // answers end their connections, resting ones are shut
+				go func() {
+					for round.Load() == now && ctx.Err() == nil {
+						clients.Rest()
+						time.Sleep(quietLook)
+					}
+				}()
+			}
 		},
 		Log: g.log,
 	}
@@ -76,6 +85,7 @@
 			}
 			r.Retune(names)
 		}
+		g.kept.Store(int64(next.LongestWait()))
 		g.log.Info("settings taken", "classes", len(set.Classes), "attempts", set.MaxAttempts)
 	}
 	if g.control == "" {
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -89,6 +89,7 @@
 	reload  func() error          // reads the configuration anew; set by directory
 	depart  func()                // tells the other gateways that this one is about to end; set by directory, nil for none
 	longest time.Duration         // wait of any client for its first token, by the settings
+	kept    atomic.Int64          // the same by settings read later, nanoseconds; 0 for none
 	serving atomic.Value          // the address that it listens on, once it does
 	shared  atomic.Int64          // gateways that share the engines; set by directory
 	counts  func() map[string]int // of the front's own, beside the core's; nil for none
@@ -308,7 +309,7 @@
 			f.Close()
 		}
 	}
-	g.operate(ctx, c, f, srv, handOver)
+	g.operate(ctx, c, f, clients, handOver)
 	srv.ConnState, srv.ConnContext = clients.State, clients.ConnContext
 	go g.reloads(ctx, hup) // to the very end: SIGHUP may come while the gateway leaves
 	failed := make(chan error, 1)
@@ -376,7 +377,7 @@
 // On an inherited socket the next version takes new clients at once, so nothing
 // new is waited for: what is in hand is finished before the kill.
 func (g *gateway) leave(ctx context.Context, srv *http.Server, clients *intake.Listener, c *core.Core, f front, handed bool) {
-	kill := time.Now().Add(min(g.longest, longestWait) + killAfter - beforeKill)
+	kill := time.Now().Add(timeLeft(g.longest, time.Duration(g.kept.Load())))
 	finish, done := ctx, context.CancelFunc(func() {})
 	if handed {
 		finish, done = context.WithDeadline(ctx, kill)
@@ -415,6 +416,15 @@
 	g.log.Info("left", "counts", c.Counts(ctx))
 }
 
+// timeLeft is how long after SIGTERM the gateway may go on, by the longest wait that the
+// settings allow: the kill goes by those in force, which may have been read anew.
+func timeLeft(first, anew time.Duration) time.Duration {
+	if anew > 0 {
+		first = min(first, anew)
+	}
+	return min(first, longestWait) + killAfter - beforeKill
+}
+
 // laterDirectory breaks the circle between core and directory: each is told of
 // the other. It is filled in before the core runs.
 type laterDirectory struct{ core.Directory }
--- a/internal/intake/left.go
+++ b/internal/intake/left.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net"
+	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
+	"unsafe"
 )
 
 // lookEvery is how often a client that has sent ahead is looked at while its request is in
@@ -61,6 +60,19 @@
 	c.watch()
 }
 
+// pollFd is the system's: what is asked of a descriptor, and what it said.
+type pollFd struct {
+	fd             int32
+	events, answer int16
+}
+
+// The system's names for what poll tells; syscall has none for them.
+const (
+	pollErr   = 0x8
+	pollHup   = 0x10
+	pollRdHup = 0x2000
+)
+
 // hungUp tells whether the client has ended its sending or the connection is broken,
 // whatever has come before that and is not read.
 func (c *Conn) hungUp() bool {
@@ -69,15 +81,10 @@
 	}
 	is := false
 	err := c.raw.Control(func(fd uintptr) {
-		for {
-			at := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-			n, err := unix.Poll(at, 0)
-			if errors.Is(err, unix.EINTR) {
-				continue
-			}
-			is = n > 0 && err == nil && at[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-			return
-		}
+		at := pollFd{fd: int32(fd), events: pollRdHup}
+		var now syscall.Timespec
+		n, _, no := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&at)), 1, uintptr(unsafe.Pointer(&now)), 0, 0, 0)
+		is = no == 0 && n > 0 && at.answer&(pollRdHup|pollHup|pollErr) != 0
 	})
 	return err != nil || is
 }
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -77,20 +77,7 @@
 func (l *Listener) Shutdown(ctx context.Context) error {
 	_ = l.Close()
 	for pause := restLeast; ; pause = min(2*pause, restMost) {
-		l.mu.Lock()
-		now := time.Now()
-		var resting []*Conn
-		for c := range l.open {
-			if c.rest(now, silentGrace) {
-				resting = append(resting, c)
-			}
-		}
-		left := len(l.open)
-		l.mu.Unlock()
-		for _, c := range resting {
-			_ = c.Close()
-		}
-		if left == 0 {
+		if l.Rest() == 0 {
 			return nil
 		}
 		select {
@@ -101,6 +88,25 @@
 	}
 }
 
+// Rest shuts the connections on which no request is in hand or on its way, and returns how
+// many were open. One that has yet to bring its first has a moment for it.
+func (l *Listener) Rest() int {
+	l.mu.Lock()
+	now := time.Now()
+	var resting []*Conn
+	for c := range l.open {
+		if c.rest(now, silentGrace) {
+			resting = append(resting, c)
+		}
+	}
+	open := len(l.open)
+	l.mu.Unlock()
+	for _, c := range resting {
+		_ = c.Close()
+	}
+	return open
+}
+
 // evict closes the connection that is missed least. The lock is held. Only the one
 // chosen is looked at on its socket: to look at all takes a call each, which under a
 // flood of newcomers cost over a third of the gateway's time.
