An engine's connection rests 30 ms after an answer, so that a second one meets no request

Need: an answer that comes a second time, also once the next request on its connection has been written. At fault: Pool.get gave out a connection the moment its answer had been read. On the platform a request now goes out on one that has rested for 30 ms, or on a new one; probes' connections are left out. TestNoRequestIsWrittenWhereASecondAnswerMayCome holds the second answer back by order of events.

--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -50,7 +50,9 @@
 	// A client that is left waiting for 5 s after a stream's last event has lost it
 	// on the platform. Elsewhere a model may well think for longer.
 	platformSilence = 4500 * time.Millisecond
-	chatSilence     = time.Minute
+	// An engine there may send an answer a second time, some milliseconds late.
+	platformSettle = 30 * time.Millisecond
+	chatSilence    = time.Minute
 
 	usualGarbage = 100 // the runtime's own default
 	chatGarbage  = 400 // where there are hundreds of megabytes, collecting costs more than it brings
@@ -130,7 +132,7 @@
 		listen: p.Listen, limits: p.Limits, set: p.Settings(), seed: seed, log: log.With("name", p.Name),
 		pool: upstream.Options{
 			ConnectTimeout: wire.Micros(p.Options.Limits.ConnTimeout), ConnIdle: wire.Micros(p.Options.Limits.ConnIdle),
-			StreamSilence: platformSilence,
+			StreamSilence: platformSilence, Settle: platformSettle,
 		},
 		dialect: func(string) upstream.Dialect { return platform.Dialect{} },
 		longest: p.LongestWait(), resume: p.Options.Info.Resume,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,6 +11,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 	MaxConns       int           // open at once, over all engines
 	StreamSilence  time.Duration // a stream that says nothing for this long is broken off
 	ReadBuffer     int           // bytes of each connection; 0 = leastBuffer
+	Settle         time.Duration // from an answer to the next request on its connection; 0 = none. See get
 }
 
 // The pool's margins.
@@ -49,6 +51,7 @@
 	idle  time.Time // since when it has been idle
 	until time.Time // if set, it is retired once idle past this
 	used  bool      // it has carried an exchange before
+	calm  bool      // its last answer was a probe's, to which no second one comes
 }
 
 // Pool keeps idle connections to engines.
@@ -118,13 +121,21 @@
 	return p.dial(ctx, addr)
 }
 
-// get returns an idle connection that its engine has not closed, or a new one.
+// get returns an idle connection that its engine has not closed, or a new one. One that has
+// had its answer just now is left alone: what comes on it next may be that answer once more,
+// and nothing tells it from the next one's.
 func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
 	p.mu.Lock()
-	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
-		c := list[len(list)-1] // the newest: the others may grow old and be retired
-		p.idle[addr] = list[:len(list)-1]
-		if !p.stale(c, time.Now()) && quiet(c.Conn) {
+	now := time.Now()
+	for at := len(p.idle[addr]) - 1; at >= 0; at-- {
+		c := p.idle[addr][at] // the newest first: the others may grow old and be retired
+		if !c.calm && p.opt.Settle > 0 && now.Sub(c.idle) < p.opt.Settle {
+			continue
+		}
+		if p.idle[addr] = slices.Delete(p.idle[addr], at, at+1); len(p.idle[addr]) == 0 {
+			delete(p.idle, addr)
+		}
+		if !p.stale(c, now) && quiet(c.Conn) {
 			p.mu.Unlock()
 			c.until = time.Time{} // taken: it lives as any other
 			return c, nil
@@ -191,11 +202,17 @@
 	if !c.used {
 		c.until = time.Now().Add(briefIdle)
 	}
-	p.put(c)
+	c.calm = true
+	p.keep(c)
 }
 
 // put gives back a connection whose answer has been read to its end.
 func (p *Pool) put(c *conn) {
+	c.calm = false
+	p.keep(c)
+}
+
+func (p *Pool) keep(c *conn) {
 	c.used = true
 	// More than the answer, such as a second one, would be taken for the next one's. What
 	// has come and is not read yet is looked for when the connection is taken again.
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -74,3 +75,54 @@
 		t.Errorf("a connection that had carried work is retired at %v", taken.until)
 	}
 }
+
+// A second answer may come when its connection is idle again, or carries the next request
+// already: then nothing tells it from that one's. So the next request goes another way while
+// one may still come, and never on a connection on which one has.
+func TestNoRequestIsWrittenWhereASecondAnswerMayCome(t *testing.T) {
+	second := make(chan struct{})
+	server := playback.NewEngine(t, func(c playback.Call) string {
+		if c.N == 2 { // a call of the same connection, that stands for what its engine does later
+			<-second
+		}
+		return playback.Status(202, "", "{}")
+	})
+	p := NewPool(Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, Settle: time.Minute})
+	get := func() *conn {
+		t.Helper()
+		c, err := p.get(t.Context(), server.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	ask := Call{Method: "POST", Target: "/"}
+	first := get()
+	if err := write(first, ask); err != nil {
+		t.Fatal(err)
+	}
+	if resp, err := readHead(first, time.Now().Add(time.Minute)); err != nil || resp.StatusCode != 202 {
+		t.Fatal(resp, err)
+	} else if _, err := io.ReadAll(resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	if err := write(first, ask); err != nil { // brings the answer that nobody asked for, once it is let go
+		t.Fatal(err)
+	}
+	p.put(first)
+	other := get()
+	if other == first {
+		t.Fatal("the next request would be written before the second answer has come")
+	}
+	p.put(other)
+	close(second)
+	playback.Eventually(t, "the second answer comes", func() bool { return !quiet(first.Conn) })
+	first.idle = first.idle.Add(-time.Minute) // it has settled
+	other.idle = first.idle.Add(-time.Millisecond)
+	if c := get(); c == first {
+		t.Error("the next request would be written after the second answer")
+	}
+	if p.open > 2 {
+		t.Errorf("%d connections open: the spoilt one is kept", p.open)
+	}
+}
