Three gateways whose lists go quiet at once, as a test of several programs

Need: what several processes do when every open watch falls silent and an engine drains then. Discovery writes one list to each and nothing after; the next watch tells of the drain. Each of three programs opens a watch anew and sends nothing more to the engine that drains.

--- a/cmd/wellgw/moments_test.go
+++ b/cmd/wellgw/moments_test.go
@@ -246,6 +246,81 @@
 	t.Logf("behind the cut %d served, %d refused, %d failed", clients[0].served.Load(), clients[0].refused.Load(), clients[0].failed.Load())
 }
 
+// Discovery's watches fall silent at three gateways at once, on open connections, and an
+// engine begins to drain meanwhile: each opens a new watch from what it knows, learns of the
+// drain, and sends nothing there any more.
+func TestAListGoneQuietAtThreeGateways(t *testing.T) {
+	gone, stays := playback.NewEngine(t, until(read)), playback.NewEngine(t, until(read))
+	writer := playback.NewEngine(t, until(func() string { return playback.Stream(2, 0) }))
+	list := func(revision int, phase string) string {
+		return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[{"id":"r1","host_port":%q,"locality":"a","flavor":"r","phase":%q},
+			{"id":"r2","host_port":%q,"locality":"a","flavor":"r","phase":"active"},{"id":"w1","host_port":%q,"locality":"a","flavor":"w","phase":"active"}]}`+"\n",
+			revision, gone.Addr, phase, stays.Addr, writer.Addr)
+	}
+	var first, anew atomic.Int64
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("after") == "0" {
+			io.WriteString(w, list(1, "active"))
+			first.Add(1)
+		} else {
+			io.WriteString(w, list(2, "leaving"))
+			anew.Add(1)
+		}
+		w.(http.Flusher).Flush() // and then no empty line ever comes
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() { discovery.CloseClientConnections(); discovery.Close() })
+	var urls []string
+	for n := range 3 {
+		config := file(t, fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","discovery":%q,"settings":%s}`,
+			n, discovery.Listener.Addr(), strings.Replace(settings, `"balancers":1`, `"balancers":3`, 1)))
+		_, url := serving(t, []string{"EDGE_CONFIG=" + config}, "serve")
+		healthy(t, url)
+		urls = append(urls, url)
+	}
+	ids := 0
+	ask := func(url string) {
+		t.Helper()
+		req := post(t, url)
+		ids++
+		req.Header.Set("X-Request-Id", fmt.Sprint("q", ids))
+		req.Header.Set("X-Key", fmt.Sprint("s", ids))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d, %v", resp.StatusCode, err)
+		}
+	}
+	playback.Eventually(t, "both readers are used", func() bool {
+		for _, url := range urls {
+			ask(url)
+		}
+		return len(gone.Calls(http.MethodPost)) > 0 && len(stays.Calls(http.MethodPost)) > 0
+	})
+	playback.Eventually(t, "each gateway has opened a watch anew", func() bool { return anew.Load() >= 3 })
+	for _, url := range urls {
+		playback.Eventually(t, "one goes elsewhere ten times on end", func() bool {
+			before := len(gone.Calls(http.MethodPost))
+			for range 10 {
+				ask(url)
+			}
+			return len(gone.Calls(http.MethodPost)) == before
+		})
+	}
+	before := len(gone.Calls(http.MethodPost))
+	for range 30 {
+		for _, url := range urls {
+			ask(url)
+		}
+	}
+	if n := len(gone.Calls(http.MethodPost)) - before; n > 0 {
+		t.Errorf("%d sends to an engine that drains", n)
+	}
+}
+
 // Three gateways are told to end and started anew, one after the other, under clients that
 // send on every connection that stays open, in the very moment of a close too. Every order
 // gets one final answer, and none runs twice.
