A client connection lets go of net/http's buffer once it has read

Read on reading the change again: the connection kept a reference to the buffer of its last read, which net/http lends to other connections.

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -221,6 +221,7 @@
 		} else if err := c.raw.Read(c.step); err != nil {
 			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
 		}
+		c.into = nil // it is net/http's, which lends it to others
 		if !c.spoilt || c.n > 0 {
 			return c.n, c.err
 		}
