A test that idle clients leave room for engines, releases and discovery

A program with 96 descriptors, by its settings and by the system's limit, gets 288 idle connections while discovery is silent: the watch is opened anew, ten requests are answered and what was read for them is let go. It passes; with the bound on clients taken away it does not end.

--- a/cmd/wellgw/main_test.go
+++ b/cmd/wellgw/main_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -23,6 +24,11 @@
 // TestMain runs the program itself when a test starts this binary as such.
 func TestMain(m *testing.M) {
 	if os.Getenv("WELLGW_TEST_RUN") == "1" {
+		if n, err := strconv.ParseUint(os.Getenv("WELLGW_TEST_NOFILE"), 10, 64); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		return
 	}
--- a/cmd/wellgw/moments_test.go
+++ b/cmd/wellgw/moments_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"os/exec"
 	"path"
 	"strings"
@@ -321,6 +322,60 @@
 	}
 }
 
+// Idle clients take all the descriptors that a gateway has for clients while discovery is
+// silent. There is room left: for a request of another client, for its engines, for what has
+// to be let go, and for the watch that is opened anew.
+func TestIdleClientsLeaveRoomForWhatMatters(t *testing.T) {
+	const files = 96
+	reader := playback.NewEngine(t, until(read))
+	writer := playback.NewEngine(t, until(func() string { return playback.Status(500, "", "") })) // so that the state has to be let go
+	var back atomic.Bool
+	var watches atomic.Int64
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if back.Load() {
+			watches.Add(1)
+			w.(http.Flusher).Flush()
+		}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() { discovery.CloseClientConnections(); discovery.Close() })
+	config := platformFile(t, "n1", discovery.Listener.Addr().String(), settings, reader, writer)
+	text, err := os.ReadFile(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config = file(t, strings.Replace(string(text), `"name":"n1"`, fmt.Sprintf(`"name":"n1","limits":{"sockets":%d}`, files), 1))
+	_, url := serving(t, []string{"EDGE_CONFIG=" + config, fmt.Sprint("WELLGW_TEST_NOFILE=", files)}, "serve")
+	healthy(t, url)
+	for range 3 * files {
+		nc, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+	}
+	back.Store(true)
+	playback.Eventually(t, "a watch is opened anew", func() bool { return watches.Load() > 0 })
+	answered := 0
+	playback.Eventually(t, "ten requests are answered beside them", func() bool {
+		req := post(t, url)
+		req.Header.Set("X-Request-Id", fmt.Sprint("q", answered))
+		req.Close = true
+		if resp, err := http.DefaultClient.Do(req); err == nil { // a newcomer may be shut unread
+			resp.Body.Close()
+			answered++
+		}
+		return answered >= 10
+	})
+	playback.Eventually(t, "what was read for them is let go", func() bool {
+		gone := map[string]bool{}
+		for _, call := range reader.Calls(http.MethodDelete) {
+			gone[path.Base(call.Path)] = true
+		}
+		return len(gone) >= len(reader.Calls(http.MethodPost)) && len(gone) > 0
+	})
+}
+
 // Three gateways are told to end and started anew, one after the other, under clients that
 // send on every connection that stays open, in the very moment of a close too. Every order
 // gets one final answer, and none runs twice.
