A client's own headers reach its engines; a guarded class's key was dropped

At fault: platform.Dialect.Attempt wrote three headers of its own and none of the client's, so that the engines of a guarded class, which tell repeats by a key, never saw it. TestAClientsHeadersReachItsEngines.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -25,8 +25,9 @@
 type Payload struct {
 	Method, Target string
 	Body           []byte
-	Plain          bool // the answer is one body, not a stream of events
-	HoldLead       bool // events before the first token may be held back until it comes
+	Header         [][2]string // of the client's own, for its engine
+	Plain          bool        // the answer is one body, not a stream of events
+	HoldLead       bool        // events before the first token may be held back until it comes
 }
 
 // Verdict says which final answer a request gets.
--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -18,16 +19,49 @@
 // Dialect is how the platform's engines are spoken with.
 type Dialect struct{}
 
-// Attempt passes method, target, body and id unchanged.
+// Attempt passes method, target, body, id and the client's own headers unchanged.
 func (Dialect) Attempt(a core.Attempt) upstream.Call {
+	own := [][2]string{
+		{"X-Request-Id", a.Wire},
+		{"X-Deadline-Ms", strconv.FormatInt(max(1, a.Limit.Milliseconds()), 10)},
+	}
 	return upstream.Call{
 		Method: a.Payload.Method, Target: a.Payload.Target, Body: a.Payload.Body,
-		Header: [][2]string{
-			{"Content-Type", "application/json"},
-			{"X-Request-Id", a.Wire},
-			{"X-Deadline-Ms", strconv.FormatInt(max(1, a.Limit.Milliseconds()), 10)},
-		},
+		Header: append(own, a.Payload.Header...),
+	}
+}
+
+// notPassed are the headers that end at a gateway: those of one connection, by the standard,
+// those that it words anew, and what a client proves itself with.
+var notPassed = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Host": true,
+	"X-Request-Id": true, "X-Deadline-Ms": true,
+	"Authorization": true, "Proxy-Authorization": true, "Cookie": true,
+}
+
+// passed returns the headers that go on to an engine: engines of a guarded class tell
+// repeats by a key that the client has put there, and others may read more.
+func passed(h http.Header) [][2]string {
+	named := map[string]bool{} // by the client's Connection, as its connection's alone
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	all := make([][2]string, 0, len(h))
+	for name, values := range h {
+		if notPassed[name] || named[name] {
+			continue
+		}
+		for _, v := range values {
+			all = append(all, [2]string{name, v})
+		}
+	}
+	if _, has := h["Content-Type"]; !has {
+		all = append(all, [2]string{"Content-Type", "application/json"})
 	}
+	return all
 }
 
 // Judge maps statuses by the protocol's table. Only X-Not-Run proves that the
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -107,7 +107,7 @@
 		return
 	}
 	q.Arrived = arrived
-	q.Payload = core.Payload{Method: r.Method, Target: r.URL.RequestURI()}
+	q.Payload = core.Payload{Method: r.Method, Target: r.URL.RequestURI(), Header: passed(r.Header)}
 	body, free, err := f.bodies.Read(w, r)
 	switch {
 	case errors.Is(err, intake.ErrTooBig):
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -259,6 +259,31 @@
 }
 
 // A client that leaves mid-stream frees what it holds within the pin limit.
+// What a client says of its request reaches its engines as it was said, a key for repeats
+// above all; what is the connection's own or proves who the client is does not.
+func TestAClientsHeadersReachItsEngines(t *testing.T) {
+	h := http.Header{
+		"Idempotency-Key": {"k-1"}, "X-Class": {"order"}, "X-Many": {"a", "b"}, "Content-Type": {"text/plain"},
+		"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Transfer-Encoding": {"chunked"}, "Content-Length": {"9"},
+		"X-Deadline-Ms": {"5000"}, "X-Request-Id": {"other"}, "Authorization": {"Bearer x"}, "Cookie": {"a=b"},
+	}
+	call := Dialect{}.Attempt(core.Attempt{Wire: "id1", Limit: 2 * time.Second, Payload: core.Payload{Header: passed(h)}})
+	got := http.Header{}
+	for _, line := range call.Header {
+		got.Add(line[0], line[1])
+	}
+	want := http.Header{
+		"Idempotency-Key": {"k-1"}, "X-Class": {"order"}, "X-Many": {"a", "b"}, "Content-Type": {"text/plain"},
+		"X-Deadline-Ms": {"2000"}, "X-Request-Id": {"id1"},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if one := passed(http.Header{}); cmp.Diff([][2]string{{"Content-Type", "application/json"}}, one) != "" {
+		t.Errorf("without any: %v", one)
+	}
+}
+
 func TestClientDropFreesItsState(t *testing.T) {
 	whole := playback.Stream(2, 0)
 	addr, r, w, _ := gateway(t, read, func(playback.Call) string { return whole[:len(whole)/2] + playback.Hang })
