A leaving gateway reads nothing after an answer, and answers all before the kill

It is now shut in the moment in which its answer ends (Listener.State). Where streams go on to the kill, what has no answer 0.4 s before it is refused, or fails, instead of being cut off. TestNothingIsReadAfterAnAnswerOnceTheServerShuts and TestWhatTheKillWouldFindUnansweredIsAnswered.

--- a/cmd/wellgw/moments_test.go
+++ b/cmd/wellgw/moments_test.go
@@ -322,6 +322,37 @@
 	}
 }
 
+// Where streams go on to the kill, a request whose engine never answers still has its answer
+// before it, and the gateway ends by itself.
+func TestWhatTheKillWouldFindUnansweredIsAnswered(t *testing.T) {
+	reader := playback.NewEngine(t, until(read))
+	out := make(chan bool, 1)
+	writer := playback.NewEngine(t, until(func() string {
+		out <- true
+		return playback.Hang
+	}))
+	cmd, url := serving(t, []string{"EDGE_CONFIG=" + platformFile(t, "n1", "127.0.0.1:1", settings, reader, writer)}, "serve")
+	healthy(t, url)
+	status := make(chan int, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(post(t, url))
+		if err != nil {
+			status <- 0
+			return
+		}
+		resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	<-out
+	cmd.Process.Signal(syscall.SIGTERM)
+	if code := <-status; code != http.StatusBadGateway { // 504 would be its deadline's, a minute later
+		t.Errorf("status %d", code)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
+
 // Idle clients take all the descriptors that a gateway has for clients while discovery is
 // silent. There is room left: for a request of another client, for its engines, for what has
 // to be let go, and for the watch that is opened anew.
@@ -347,13 +378,43 @@
 	config = file(t, strings.Replace(string(text), `"name":"n1"`, fmt.Sprintf(`"name":"n1","limits":{"sockets":%d}`, files), 1))
 	_, url := serving(t, []string{"EDGE_CONFIG=" + config, fmt.Sprint("WELLGW_TEST_NOFILE=", files)}, "serve")
 	healthy(t, url)
-	for range 3 * files {
-		nc, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { nc.Close() })
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer close(stop)
+	var rested atomic.Int64
+	for range 2 * files { // each comes anew when it is sent away, and rests after an answer
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				nc, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+				if err != nil {
+					continue
+				}
+				ended := make(chan struct{})
+				go func() {
+					select {
+					case <-stop:
+					case <-ended:
+					}
+					nc.Close()
+				}()
+				io.WriteString(nc, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+				in := bufio.NewReader(nc)
+				if resp, err := http.ReadResponse(in, nil); err == nil {
+					io.Copy(io.Discard, resp.Body)
+					rested.Add(1)
+					in.ReadByte() // to the gateway's end
+				}
+				close(ended)
+			}
+		})
 	}
+	playback.Eventually(t, "they have taken all", func() bool { return rested.Load() > 2*files })
 	back.Store(true)
 	playback.Eventually(t, "a watch is opened anew", func() bool { return watches.Load() > 0 })
 	answered := 0
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -45,6 +45,7 @@
 	lastReleases = 500 * time.Millisecond  // for the last states to be let go, the second call included
 	lastWork     = 1500 * time.Millisecond // for what the directory still has to do
 	lastAnswers  = 250 * time.Millisecond  // for what is out at writers to be answered
+	lastRefusals = 400 * time.Millisecond  // before the kill, where streams go on to the end
 	lastWords    = 50 * time.Millisecond   // for the last refusals to be written
 
 	// A client that is left waiting for 5 s after a stream's last event has lost it
@@ -393,6 +394,10 @@
 		finish, done = context.WithDeadline(ctx, kill)
 	}
 	defer done()
+	if !g.resume && !handed { // what the kill would find unanswered has its answer before
+		last := time.AfterFunc(time.Until(kill)+beforeKill-lastRefusals, func() { c.Abandon(true) })
+		defer last.Stop()
+	}
 	f.Close()
 	if time.Now().After(kill) {
 		c.Abandon(false)
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,6 +32,7 @@
 	limit int
 	mu    sync.Mutex
 	open  map[*Conn]bool
+	last  atomic.Bool // no connection outlasts its answer; see Shutdown
 }
 
 // NewListener returns a listener over l that holds limit connections at most.
@@ -66,16 +68,22 @@
 		c.mu.Lock()
 		c.answered++
 		c.since = time.Now()
+		over := l.last.Load() && c.frame.between()
+		c.shut = c.shut || over
 		c.mu.Unlock()
+		if over { // what has come meanwhile is not read: its client sends it elsewhere
+			_ = c.Close()
+		}
 	}
 }
 
 // Shutdown takes no more connections and waits until none is open or ctx ends. One that
-// rests is shut at once, any other when the front has answered its request with the word
-// that it was the last. Unlike net/http's own it never shuts one whose request has been
+// rests is shut at once, any other when its request has been answered: a stream may have
+// begun before its client could be told that it was the last. Unlike net/http's own it never shuts one whose request has been
 // read: that one would be carried out with nobody left to answer.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	_ = l.Close()
+	l.last.Store(true)
 	for pause := restLeast; ; pause = min(2*pause, restMost) {
 		if l.Rest() == 0 {
 			return nil
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -279,6 +279,29 @@
 	}
 }
 
+// A connection whose answer began before the shutdown ends with it: the next request on it,
+// which has come by then, is never read. It would be taken when there is no time left for it.
+func TestNothingIsReadAfterAnAnswerOnceTheServerShuts(t *testing.T) {
+	l, waiting, answer := serve(t, 8)
+	c := dial(t, l.Addr().String(), "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-waiting
+	done := make(chan error)
+	go func() { done <- l.Shutdown(t.Context()) }()
+	playback.Eventually(t, "the shutdown has begun", l.last.Load)
+	close(answer)
+	in := bufio.NewReader(c)
+	if a := next(in); a != "/wait" {
+		t.Fatalf("got %q", a)
+	}
+	io.WriteString(c, "GET /late HTTP/1.1\r\nHost: x\r\n\r\n")
+	if a := next(in); a != "none" {
+		t.Errorf("the late one got %q", a)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 // An answer reaches a client that still sends: the close does not reset the connection
 // under it, whatever has come and is not read.
 func TestACloseOverUnreadBytesLosesNoAnswer(t *testing.T) {
