--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -79,8 +79,9 @@
 
 // Shutdown takes no more connections and waits until none is open or ctx ends. One that
 // rests is shut at once, any other when its request has been answered: a stream may have
-// begun before its client could be told that it was the last. Unlike net/http's own it never shuts one whose request has been
-// read: that one would be carried out with nobody left to answer.
+// begun before its client could be told that it was the last. Unlike net/http's own it never
+// shuts one whose request has been read: that one would be carried out with nobody left to
+// answer.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	_ = l.Close()
 	l.last.Store(true)
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -279,17 +279,23 @@
 	}
 }
 
-// A connection whose answer began before the shutdown ends with it: the next request on it,
-// which has come by then, is never read. It would be taken when there is no time left for it.
-func TestNothingIsReadAfterAnAnswerOnceTheServerShuts(t *testing.T) {
+// shutting begins a shutdown while the first of a client's requests, which is for /wait, is in
+// hand, and then lets it be answered.
+func shutting(t *testing.T, asked string) (c net.Conn, in *bufio.Reader, done chan error) {
 	l, waiting, answer := serve(t, 8)
-	c := dial(t, l.Addr().String(), "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+	c = dial(t, l.Addr().String(), asked)
 	<-waiting
-	done := make(chan error)
+	done = make(chan error, 1)
 	go func() { done <- l.Shutdown(t.Context()) }()
 	playback.Eventually(t, "the shutdown has begun", l.last.Load)
 	close(answer)
-	in := bufio.NewReader(c)
+	return c, bufio.NewReader(c), done
+}
+
+// A connection whose answer began before the shutdown ends with it: the next request on it,
+// which has come by then, is never read. It would be taken when there is no time left for it.
+func TestNothingIsReadAfterAnAnswerOnceTheServerShuts(t *testing.T) {
+	c, in, done := shutting(t, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
 	if a := next(in); a != "/wait" {
 		t.Fatalf("got %q", a)
 	}
@@ -305,14 +311,7 @@
 // Of requests that were sent together, and read together, the shutdown leaves none without
 // its answer.
 func TestShutdownAnswersAPipelineThatWasRead(t *testing.T) {
-	l, waiting, answer := serve(t, 8)
-	c := dial(t, l.Addr().String(), "GET /wait HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n")
-	<-waiting
-	done := make(chan error)
-	go func() { done <- l.Shutdown(t.Context()) }()
-	playback.Eventually(t, "the shutdown has begun", l.last.Load)
-	close(answer)
-	in := bufio.NewReader(c)
+	_, in, done := shutting(t, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n")
 	for _, want := range []string{"/wait", "/second", "none"} {
 		if a := next(in); a != want {
 			t.Errorf("got %q, want %q", a, want)
