How a client wants its own answer encoded is not asked of an engine

Read on reading the change again: with a client's headers Accept-Encoding and Range would have gone on too, and an engine might have answered in a coding, or a part, that the gateway cannot read events from. Both end here now; TestAClientsHeadersReachItsEngines has them.

--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -32,10 +32,12 @@
 }
 
 // notPassed are the headers that end at a gateway: those of one connection, by the standard,
-// those that it words anew, and what a client proves itself with.
+// those that it words anew or that say how it is to be answered itself, and what a client
+// proves itself with.
 var notPassed = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
 	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Host": true,
+	"Accept-Encoding": true, "Range": true,
 	"X-Request-Id": true, "X-Deadline-Ms": true,
 	"Authorization": true, "Proxy-Authorization": true, "Cookie": true,
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -265,7 +265,7 @@
 	h := http.Header{
 		"Idempotency-Key": {"k-1"}, "X-Class": {"order"}, "X-Many": {"a", "b"}, "Content-Type": {"text/plain"},
 		"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Transfer-Encoding": {"chunked"}, "Content-Length": {"9"},
-		"X-Deadline-Ms": {"5000"}, "X-Request-Id": {"other"}, "Authorization": {"Bearer x"}, "Cookie": {"a=b"},
+		"X-Deadline-Ms": {"5000"}, "X-Request-Id": {"other"}, "Authorization": {"Bearer x"}, "Cookie": {"a=b"}, "Accept-Encoding": {"br"}, "Range": {"bytes=1-"},
 	}
 	call := Dialect{}.Attempt(core.Attempt{Wire: "id1", Limit: 2 * time.Second, Payload: core.Payload{Header: passed(h)}})
 	got := http.Header{}
