--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -458,6 +458,24 @@
 	}
 }
 
+// letGo heals the cut before a reader that is told to let go. Until then one attempt is open
+// if it covers the state, afterwards none is.
+func letGo(t *testing.T, core *Core, f *fake, covered bool) {
+	t.Helper()
+	playback.Eventually(t, "the reader is told to let go", func() bool { return f.has("r1") })
+	core.Counts(t.Context())
+	if all, closed, _ := f.tally(); (closed == all-1) != covered {
+		t.Errorf("%d of %d attempts are closed before the reader is reached", closed, all)
+	}
+	close(f.cut)
+	if err := core.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if all, closed, _ := f.tally(); closed < all {
+		t.Errorf("%d of %d attempts are closed after it has let go", closed, all)
+	}
+}
+
 // The engine that holds a state is behind a cut: the attempt that has been given up stays
 // out until that engine can be told to let go, and its client has had its answer at once.
 func TestAnAttemptCoversAStateThatCannotBeLetGo(t *testing.T) {
@@ -479,18 +497,7 @@
 			if a.Verdict != c.verdict {
 				t.Fatalf("answer %+v", a)
 			}
-			playback.Eventually(t, "the reader is told to let go", func() bool { return f.has("r1") })
-			core.Counts(t.Context())
-			if all, closed, _ := f.tally(); (closed == all-1) != c.covered {
-				t.Errorf("%d of %d attempts are closed before the reader is reached", closed, all)
-			}
-			close(f.cut)
-			if err := core.Drain(t.Context()); err != nil {
-				t.Fatal(err)
-			}
-			if all, closed, _ := f.tally(); closed < all {
-				t.Errorf("%d of %d attempts are closed after it has let go", closed, all)
-			}
+			letGo(t, core, f, c.covered)
 		})
 	}
 }
@@ -535,18 +542,7 @@
 	if a := <-answered; a.Verdict == Serving {
 		t.Fatalf("answer %+v", a)
 	}
-	playback.Eventually(t, "the reader is told to let go", func() bool { return f.has("r1") })
-	core.Counts(t.Context())
-	if all, closed, _ := f.tally(); closed != all-1 {
-		t.Errorf("%d of %d attempts are closed before the reader is reached", closed, all)
-	}
-	close(f.cut)
-	if err := core.Drain(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	if all, closed, _ := f.tally(); closed < all {
-		t.Errorf("%d of %d attempts are closed after it has let go", closed, all)
-	}
+	letGo(t, core, f, true)
 }
 
 // An order that was taken under one configuration is refused by its rules, though another has
