The test of late second answers ends at once where it fails

Tried without the rest of 30 ms it failed, but only by its time-out: the scripted engine was left waiting. It fails in a moment now.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -87,6 +88,8 @@
 		}
 		return playback.Status(202, "", "{}")
 	})
+	let := sync.OnceFunc(func() { close(second) })
+	t.Cleanup(let) // before the engine's end, which waits for its script
 	p := NewPool(Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, Settle: time.Minute})
 	get := func() *conn {
 		t.Helper()
@@ -115,7 +118,7 @@
 		t.Fatal("the next request would be written before the second answer has come")
 	}
 	p.put(other)
-	close(second)
+	let()
 	playback.Eventually(t, "the second answer comes", func() bool { return !quiet(first.Conn) })
 	first.idle = first.idle.Add(-time.Minute) // it has settled
 	other.idle = first.idle.Add(-time.Millisecond)
