Only the platform's gateways end requests before the kill; the chat front waits as before

It goes by a field now that only the platform's gateway sets. TestOnlyAKnownKillEndsRequestsEarly; the tests of leaving pass.

--- a/cmd/wellgw/moments_test.go
+++ b/cmd/wellgw/moments_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	"testing"
 	"time"
 
+	"wellgw/internal/config"
 	"wellgw/internal/playback"
 	"wellgw/lab/faultnet"
 )
@@ -506,3 +508,26 @@
 		}
 	}
 }
+
+// Only where the platform's kill is known to come is a request given up before it: the chat
+// front's callers wait for their answers as long as their contract says.
+func TestOnlyAKnownKillEndsRequestsEarly(t *testing.T) {
+	for _, c := range []struct {
+		g            *gateway
+		handed, want bool
+	}{
+		{&gateway{killed: true}, false, true}, {&gateway{}, false, false},
+		{&gateway{killed: true, resume: true}, false, false}, {&gateway{killed: true}, true, false},
+	} {
+		if got := c.g.endsEarly(c.handed); got != c.want {
+			t.Errorf("killed %v, resume %v, handed %v: %v", c.g.killed, c.g.resume, c.handed, got)
+		}
+	}
+	o, err := config.ReadOperator("../../deploy/operator.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if chatGateway("", o, slog.New(slog.DiscardHandler)).endsEarly(false) {
+		t.Error("the chat front gives requests up by the platform's clock")
+	}
+}
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -98,6 +98,7 @@
 	counts  func() map[string]int // of the front's own, beside the core's; nil for none
 	garbage int                   // see fitLimits; 0 = usualGarbage
 	resume  bool                  // clients ask for the rest of a stream that is cut off
+	killed  bool                  // SIGKILL follows SIGTERM by the platform's clock; elsewhere nobody says when
 	log     *slog.Logger
 
 	name    string                      // of the gateway, for the file of bans; "" keeps none
@@ -136,7 +137,7 @@
 			StreamSilence: platformSilence, Settle: platformSettle,
 		},
 		dialect: func(string) upstream.Dialect { return platform.Dialect{} },
-		longest: p.LongestWait(), resume: p.Options.Info.Resume,
+		longest: p.LongestWait(), resume: p.Options.Info.Resume, killed: true,
 		name: p.Name, control: p.Control,
 	}
 	g.figures.Slack = wire.Micros(p.Options.Rules.AnswerSlack)
@@ -394,7 +395,7 @@
 		finish, done = context.WithDeadline(ctx, kill)
 	}
 	defer done()
-	if !g.resume && !handed { // what the kill would find unanswered has its answer before
+	if g.endsEarly(handed) { // what the kill would find unanswered has its answer before
 		last := time.AfterFunc(time.Until(kill)+beforeKill-lastRefusals, func() { c.Abandon(true) })
 		defer last.Stop()
 	}
@@ -423,6 +424,10 @@
 	g.log.Info("left", "counts", c.Counts(ctx))
 }
 
+// endsEarly tells whether what has no answer yet is given up shortly before a kill that is
+// known to come, while streams go on to it.
+func (g *gateway) endsEarly(handed bool) bool { return g.killed && !g.resume && !handed }
+
 // timeLeft is how long after SIGTERM the gateway may go on, by the longest wait that the
 // settings allow: the kill goes by those in force, which may have been read anew.
 func timeLeft(first, anew time.Duration) time.Duration {
