--- a/cmd/wellgw/gateway.go
+++ b/cmd/wellgw/gateway.go
@@ -122,7 +122,7 @@
 // laterEngine does the same for engines.
 type laterEngine struct{ core.Engine }
 
-func logCounts(ctx context.Context, c *core.Core, checks *invariant.Checks, log *slog.Logger) {
+func logCounts(ctx context.Context, c *core.Core, clients *clientconn.Listener, checks *invariant.Checks, log *slog.Logger) {
 	t := time.NewTicker(logEvery)
 	defer t.Stop()
 	for {
@@ -130,7 +130,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			log.Info("counts", "counts", c.Counts(ctx))
+			log.Info("counts", "counts", c.Counts(ctx), "closes", clients.Closes())
 			checks.Log(log)
 		}
 	}
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -75,7 +75,6 @@
 	if err != nil {
 		return err
 	}
-	go logCounts(ctx, c, checks, g.log)
 	l := inherited
 	if l == nil {
 		if l, err = net.Listen("tcp4", g.listen); err != nil {
@@ -85,6 +84,8 @@
 	f := g.front(c, clientconn.NewBudget(int64(bodyPart*float64(limits.MemoryMB)*(1<<20))))
 	srv := newServer(f, g.log)
 	clients := clientconn.NewListener(l, share)
+	clients.Log(g.log)
+	go logCounts(ctx, c, clients, checks, g.log)
 	var handed atomic.Bool // a newer version takes the clients from now on
 	var handOver func()
 	if inherited != nil {
--- a/internal/clientconn/listener.go
+++ b/internal/clientconn/listener.go
@@ -36,6 +36,7 @@
 	open      map[*Conn]bool
 	last      atomic.Bool   // no connection outlasts its answer; see Shutdown
 	rejecting chan struct{} // bounds the newcomers that are being rejected
+	records   records
 }
 
 // NewListener returns a listener over l that holds limit connections at most.
@@ -68,6 +69,7 @@
 // reject closes a newcomer for whom there is no room. One whose request comes is answered
 // first. Where too many are being answered it is closed unread: its client sends once more.
 func (l *Listener) reject(nc net.Conn) {
+	l.records.add(ClosedNoRoom)
 	select {
 	case l.rejecting <- struct{}{}:
 	default:
@@ -98,7 +100,9 @@
 		c.answered++
 		c.since = time.Now()
 		over := l.last.Load() && c.frame.between() && c.frame.complete <= c.answered
-		c.shut = c.shut || over
+		if c.shut = c.shut || over; over {
+			c.because(ClosedAnswered)
+		}
 		c.mu.Unlock()
 		if over { // what has come meanwhile is not read: its client sends it elsewhere
 			_ = c.Close()
@@ -167,7 +171,8 @@
 			continue
 		}
 		delete(l.open, last)
-		last.answerPartial(noRoom)
+		last.answerPartial(noRoom, ClosedForRoom)
+		last.record()
 		last.Conn.Close()
 		return true
 	}
@@ -192,10 +197,12 @@
 
 // answerPartial answers a request whose head has come in part, before its connection is
 // closed, and tells whether there was one: net/http would close many without a word.
-func (c *Conn) answerPartial(text string) bool {
+func (c *Conn) answerPartial(text string, reason CloseReason) bool {
 	c.mu.Lock()
 	partial := !c.shut && !c.closing && !c.malformed && c.frame.complete == c.answered && c.frame.partialHead()
-	c.shut = c.shut || partial
+	if c.shut = c.shut || partial; partial || reason == ClosedForRoom {
+		c.because(reason)
+	}
 	c.mu.Unlock()
 	if !partial {
 		return false
@@ -216,7 +223,8 @@
 
 	mu          sync.Mutex
 	frame       framing
-	answered    int       // of the requests in frame
+	answered    int // of the requests in frame
+	opened      time.Time
 	since       time.Time // the connection came, or its last answer left
 	malformed   bool
 	replacement []byte // what net/http reads in place of what must not be read
@@ -228,6 +236,8 @@
 	closing     bool   // Close has been called
 	watched     bool   // see watch
 	stop        func() // ends the context of its requests; nil for none
+	reason      CloseReason
+	recorded    bool // its close is
 
 	// Of the read under way; there is one at a time.
 	step func(fd uintptr) bool
@@ -237,7 +247,8 @@
 }
 
 func newConn(nc net.Conn, l *Listener) *Conn {
-	c := &Conn{Conn: nc, from: l, since: time.Now()}
+	c := &Conn{Conn: nc, from: l, opened: time.Now()}
+	c.since = c.opened
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
@@ -283,7 +294,7 @@
 			}
 			c.mu.Unlock()
 		} else if err := c.raw.Read(c.step); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && c.answerPartial(requestTimeout) {
+			if errors.Is(err, os.ErrDeadlineExceeded) && c.answerPartial(requestTimeout, ClosedSlowRequest) {
 				_ = c.Close() // net/http would answer some of these too
 			}
 			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
@@ -359,6 +370,11 @@
 		return false
 	}
 	c.shut = true
+	if c.answered == 0 {
+		c.because(ClosedUnused)
+	} else {
+		c.because(ClosedIdle)
+	}
 	return true
 }
 
@@ -406,6 +422,7 @@
 	if stop != nil {
 		stop()
 	}
+	c.record()
 	return c.Conn.Close()
 }
 
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -131,8 +131,8 @@
 	if !withdrawn {
 		c.noteOutcome(q, at, r)
 	}
-	if r.Cause != nil {
-		c.log.Debug("attempt failed", "id", q.Wire, "attempt", at.number, "engine", at.engine.Name, "cause", r.Cause)
+	if c.loud {
+		c.logAttempt(q, at, r, withdrawn)
 	}
 	c.tell(routing.Outcome{
 		ID: q.ID, Attempt: at.number, Engine: at.engine.Name, Status: r.Status, Latency: time.Since(at.sent),
@@ -140,6 +140,16 @@
 	})
 }
 
+// logAttempt writes how an attempt ended.
+func (c *Core) logAttempt(q *request, at *attempt, r Result, withdrawn bool) {
+	message := "attempt ended"
+	if r.Cause != nil {
+		message = "attempt failed"
+	}
+	c.log.Debug(message, "id", q.Wire, "attempt", at.number, "engine", at.engine.Name, "status", statusNames[r.Status],
+		"age", time.Since(at.sent).Round(time.Millisecond), "out", at.out, "withdrawn", withdrawn, "cause", r.Cause)
+}
+
 // close closes an attempt that has ended, or keeps it open for a while if it was given up. It
 // tells whether the attempt was given up before anything of it was written.
 func (c *Core) close(q *request, at *attempt, s routing.Status) (withdrawn bool) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,7 @@
 	directory Directory
 	fig       Figures
 	log       *slog.Logger
+	loud      bool // the log takes level debug
 	checks    *invariant.Checks
 	observer  Observer // nil for none
 	origin    time.Time
@@ -55,6 +56,7 @@
 func New(r *routing.Router, e Engine, d Directory, fig Figures, log *slog.Logger, checks *invariant.Checks) *Core {
 	return &Core{
 		router: r, engine: e, directory: d, fig: fig, log: log, checks: checks,
+		loud:   log.Enabled(context.Background(), slog.LevelDebug),
 		origin: time.Now().Add(-clockOrigin),
 		queue:  make(chan func(), queueSize), done: make(chan struct{}),
 		members: map[string]Member{}, ejections: ejection.New(), requests: map[routing.RequestID]*request{}, unreleased: map[*request]bool{}, lastHeard: map[string]time.Time{},
--- a/internal/enginetest/engine.go
+++ b/internal/enginetest/engine.go
@@ -39,6 +39,34 @@
 	Hang = "\x00hang"
 )
 
+// pauseMark ends a part of a script; the pause's length stands before the next one.
+const pauseMark = "\x00pause"
+
+// Pause in a script keeps what follows back for so long.
+func Pause(d time.Duration) string { return pauseMark + d.String() + pauseMark }
+
+// writeScript writes an answer with its pauses, which end early with ctx.
+func writeScript(ctx context.Context, c net.Conn, script string) error {
+	for n, part := range strings.Split(script, pauseMark) {
+		if n%2 == 0 {
+			if _, err := io.WriteString(c, part); err != nil {
+				return err
+			}
+			continue
+		}
+		d, err := time.ParseDuration(part)
+		if err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(d):
+		}
+	}
+	return nil
+}
+
 // NewEngine starts an engine that ends with the test.
 func NewEngine(t testing.TB, script func(Call) string) *Engine {
 	t.Helper()
@@ -85,7 +113,7 @@
 		e.mu.Unlock()
 		out, hang := strings.CutSuffix(e.script(call), Hang)
 		out, cut := strings.CutSuffix(out, Cut)
-		if _, err := io.WriteString(c, out); err != nil || cut {
+		if err := writeScript(ctx, c, out); err != nil || cut {
 			return
 		}
 		if hang || out == "" {
@@ -126,10 +154,16 @@
 }
 
 // Stream is a whole stream of n events with its usage.
-func Stream(n, kept int) string {
+func Stream(n, kept int) string { return SlowStream(n, kept, 0) }
+
+// SlowStream is a Stream with a pause before each event but the first.
+func SlowStream(n, kept int, pause time.Duration) string {
 	var b bytes.Buffer
 	b.WriteString(StreamHead)
 	for i := range n {
+		if i > 0 && pause > 0 {
+			b.WriteString(Pause(pause))
+		}
 		b.WriteString(Chunk(fmt.Sprintf(`data: {"choices":[{"index":0,"delta":{"content":"w%d "},"finish_reason":null}]}`+"\n\n", i)))
 	}
 	b.WriteString(Chunk(`data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}` + "\n\n"))
