One owner each for the process's state and for connections' ends; drains end in time

Cause: standby ended connections by a look every 50 ms for resting ones and by a header on answers that had not begun. A stream under way at the call had neither: its client's next request, sent at once, was taken, at any time up to the stream's end; a request that came in pieces was taken whenever it was whole. What bounded a drain was what its clients happened to do. Change: decide/lifecycle holds the process's states and events (drain, active, hand-over, SIGTERM, SIGHUP, loss of the listener) and what becomes of a connection in each, as tables without I/O, with bounds that no later event moves out. cmd/wellgw/supervisor.go is the one place that carries them out; clientconn applies them at each answer's end and at times it is told, with no polling. Looks at sockets: EINTR is repeated, an error of memory is no 'nothing there', ETIMEDOUT no deadline.

--- a/cmd/wellgw/directory.go
+++ b/cmd/wellgw/directory.go
@@ -172,7 +172,7 @@
 	if s.tracer == nil {
 		return
 	}
-	last, done := context.WithTimeout(context.WithoutCancel(ctx), lastAnswers)
+	last, done := context.WithTimeout(context.WithoutCancel(ctx), lastSpans)
 	defer done()
 	if err := s.tracer.Close(last); err != nil {
 		s.log.Warn("the last spans are not written", "cause", err)
--- a/cmd/wellgw/gateway.go
+++ b/cmd/wellgw/gateway.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"wellgw/decide/lifecycle"
 	"wellgw/internal/clientconn"
 	"wellgw/internal/config"
 	"wellgw/internal/core"
@@ -23,7 +24,8 @@
 // front is what stands between clients and the core.
 type front interface {
 	http.Handler
-	Close() // from now on every answer ends its connection
+	// SetService goes by what clients get from now on.
+	SetService(s lifecycle.Service)
 }
 
 // gateway is all that differs between the platform and an operator's machine.
@@ -43,7 +45,6 @@
 	reload  func() error          // reads the configuration anew; set by directory
 	depart  func()                // tells the other gateways that this one is about to end; set by directory, nil for none
 	longest time.Duration         // wait of any client for its first token, by the settings
-	kept    atomic.Int64          // the same by settings read later, nanoseconds; 0 for none
 	serving atomic.Value          // the address that it listens on, once it does
 	shared  atomic.Int64          // gateways that share the engines; set by directory
 	counts  func() map[string]int // of the front's own, beside the core's; nil for none
--- a/cmd/wellgw/operate.go
+++ b/cmd/wellgw/operate.go
@@ -6,15 +6,16 @@
 	"net"
 	"os"
 	"strconv"
-	"sync/atomic"
 	"time"
 
-	"wellgw/internal/clientconn"
+	"wellgw/decide/lifecycle"
+	"wellgw/internal/accept"
 	"wellgw/internal/config"
 	"wellgw/internal/control"
 	"wellgw/internal/core"
 	"wellgw/internal/ejectionfile"
 	"wellgw/internal/operate"
+	"wellgw/internal/pause"
 )
 
 // inheritedListener returns the clients' listener that the platform hands down,
@@ -37,33 +38,26 @@
 	return l, nil
 }
 
-// standbyFront is a front that can send clients away for a while.
-type standbyFront interface{ Standby(on bool) }
-
 // operate sets up the desk for operators' calls: the ejections an earlier process left,
 // the watch on the files shared with another process, the call line where the
-// configuration names one, and the settings taken on SIGHUP. handOver, nil where
-// the clients' socket is not shared, is called once a newer version is ready.
-func (g *gateway) operate(ctx context.Context, c *core.Core, f front, clients *clientconn.Listener, handOver func()) {
-	var round atomic.Int64 // of standby; a call ends what the one before began
+// configuration names one, and the settings taken on SIGHUP. Where the clients' socket is
+// shared, a newer version takes over once it is ready.
+func (g *gateway) operate(ctx context.Context, c *core.Core, f front, life *supervisor, shared bool) {
 	desk := &operate.Desk{
 		Core:  c,
 		Ready: func() bool { return g.serving.Load() != nil && c.Ready() },
-		Standby: func(on bool) {
-			if s, ok := f.(standbyFront); ok {
-				s.Standby(on)
-			}
-			if now := round.Add(1); on { // answers end their connections, resting ones are shut
-				go func() {
-					for round.Load() == now && ctx.Err() == nil {
-						clients.CloseIdle()
-						time.Sleep(quietLook)
-					}
-				}()
+		Drain: func(ctx context.Context, on bool) bool {
+			if on {
+				return life.post(ctx, lifecycle.Drain{}, string(control.Standby))
 			}
+			return life.post(ctx, lifecycle.Activate{}, string(control.Active))
 		},
 		Log: g.log,
 	}
+	var handOver func()
+	if shared {
+		handOver = func() { life.post(ctx, lifecycle.HandOver{}, "a newer version serves") }
+	}
 	// Ejections come only by calls, here or in the other process of an upgrade; where
 	// neither can be, nothing is read or polled.
 	if g.name != "" && (g.control != "" || handOver != nil) {
@@ -85,21 +79,33 @@
 			}
 			r.Retune(names)
 		}
-		g.kept.Store(int64(next.LongestWait()))
+		life.post(ctx, lifecycle.Retuned{Longest: next.LongestWait()}, "settings")
 		g.log.Info("settings taken", "classes", len(set.Classes), "attempts", set.MaxAttempts)
 	}
-	if g.control == "" {
-		return
+	if g.control != "" {
+		go g.takeCalls(ctx, desk)
 	}
-	l, err := net.Listen("tcp4", g.control)
-	if err != nil {
-		g.log.Error("no call line", "control", g.control, "cause", err)
-		return
-	}
-	g.log.Info("calls taken", "control", l.Addr().String())
-	go func() {
-		if err := control.Serve(ctx, l, desk.Answer, g.log); err != nil {
-			g.log.Error("call line ended", "cause", err)
+}
+
+// Pauses before the call line is opened again after an error.
+const (
+	firstCallPause = 20 * time.Millisecond
+	lastCallPause  = time.Second
+)
+
+// takeCalls answers operators' calls until ctx ends. A call line that can't be opened, or is lost,
+// is opened again: without it nobody could tell the process to drain.
+func (g *gateway) takeCalls(ctx context.Context, desk *operate.Desk) {
+	for wait := firstCallPause; ctx.Err() == nil; wait = min(2*wait, lastCallPause) {
+		l, err := net.Listen("tcp4", g.control)
+		if err == nil {
+			g.log.Info("calls taken", "control", l.Addr().String())
+			wait = firstCallPause
+			err = control.Serve(ctx, accept.New(l, g.log), desk.Answer, g.log)
 		}
-	}()
+		if err != nil {
+			g.log.Error("no call line; opened again", "control", g.control, "cause", err)
+		}
+		pause.Sleep(ctx, wait)
+	}
 }
--- a/cmd/wellgw/roll_test.go
+++ b/cmd/wellgw/roll_test.go
@@ -189,39 +189,14 @@
 	}
 }
 
-// A gateway ends in time for the kill by the settings in force: a reload may have made the
-// longest wait shorter. It never takes more than the first ones gave.
-func TestTimeLeftFollowsReload(t *testing.T) {
-	const s = time.Second
-	for _, c := range []struct{ first, anew, want time.Duration }{
-		{2 * s, 0, 1600 * time.Millisecond}, {2 * s, s, 600 * time.Millisecond}, {2 * s, 4 * s, 1600 * time.Millisecond},
-		{60 * s, 0, 2600 * time.Millisecond}, {60 * s, 4 * s, 2600 * time.Millisecond},
-	} {
-		if got := timeLeft(c.first, c.anew); got != c.want {
-			t.Errorf("waits of %v, then %v: %v, want %v", c.first, c.anew, got, c.want)
-		}
-	}
-}
-
-// Only where the platform's kill is known to come is a request given up before it: the chat
-// front's callers wait for their answers as long as their contract says.
-func TestEarlyRefusalsNeedKnownKill(t *testing.T) {
-	for _, c := range []struct {
-		g            *gateway
-		handed, want bool
-	}{
-		{&gateway{killed: true}, false, true}, {&gateway{}, false, false},
-		{&gateway{killed: true, resume: true}, false, false}, {&gateway{killed: true}, true, false},
-	} {
-		if got := c.g.endsEarly(c.handed); got != c.want {
-			t.Errorf("killed %v, resume %v, handed %v: %v", c.g.killed, c.g.resume, c.handed, got)
-		}
-	}
+// Of the two programs only the platform's is told when a kill comes: the chat front's callers wait
+// for their answers as long as their contract says.
+func TestKillKnownOnlyOnPlatform(t *testing.T) {
 	o, err := config.ReadOperator("../../deploy/operator.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if chatGateway("", o, slog.New(slog.DiscardHandler)).endsEarly(false) {
+	if chatGateway("", o, slog.New(slog.DiscardHandler)).killed {
 		t.Error("the chat front gives requests up by the platform's clock")
 	}
 }
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -6,31 +6,24 @@
 	"net"
 	"os"
 	"os/signal"
-	"sync/atomic"
 	"syscall"
 	"time"
 
+	"wellgw/decide/lifecycle"
+	"wellgw/internal/accept"
 	"wellgw/internal/clientconn"
 	"wellgw/internal/invariant"
 )
 
 // The program's own margins.
 const (
-	memoryPart   = 0.75                   // of the memory limit, for the Go heap
-	bodyPart     = 0.125                  // of it, for bodies in hand; they are held up to three times over
-	heldPart     = 0.0625                 // of it, for what slow clients have not read
-	spareSockets = 32                     // descriptors for all but clients and engines
-	acceptAfter  = 500 * time.Millisecond // SIGTERM: for so long new clients keep coming
-	quietFor     = time.Second            // with no request for so long they have noticed
-	quietLook    = 50 * time.Millisecond
-	killAfter    = 700 * time.Millisecond  // SIGKILL follows the longest wait, of longestWait at most,
-	longestWait  = 3 * time.Second         // by no less
-	beforeKill   = 1100 * time.Millisecond // what is left is ended this much earlier; see leave
-	lastReleases = 500 * time.Millisecond  // for the last states to be let go, the second call included
+	memoryPart   = 0.75                    // of the memory limit, for the Go heap
+	bodyPart     = 0.125                   // of it, for bodies in hand; they are held up to three times over
+	heldPart     = 0.0625                  // of it, for what slow clients have not read
+	spareSockets = 32                      // descriptors for all but clients and engines
+	quietFor     = time.Second             // with no request for so long clients have noticed
 	lastWork     = 1500 * time.Millisecond // for what the directory still has to do
-	lastAnswers  = 250 * time.Millisecond  // for what is out at writers to be answered
-	lastRefusals = 400 * time.Millisecond  // before the kill, where streams go on to the end
-	lastWords    = 50 * time.Millisecond   // for the last refusals to be written
+	lastSpans    = 250 * time.Millisecond  // for the last spans to be written
 
 	// A client that is left waiting for 5 s after a stream's last event has lost it
 	// on the platform. Elsewhere a model may well think for longer.
@@ -83,30 +76,21 @@
 	}
 	f := g.front(c, clientconn.NewBudget(int64(bodyPart*float64(limits.MemoryMB)*(1<<20))))
 	srv := newServer(f, g.log)
-	clients := clientconn.NewListener(l, share)
+	accepting := accept.New(l, g.log)
+	clients := clientconn.NewListener(accepting, share)
+	accepting.MakeRoom = clients.MakeRoom
 	clients.Log(g.log)
 	go logCounts(ctx, c, clients, checks, g.log)
-	var handed atomic.Bool // a newer version takes the clients from now on
-	var handOver func()
-	if inherited != nil {
-		handOver = func() {
-			handed.Store(true)
-			clients.Close()
-			f.Close()
-		}
-	}
-	g.operate(ctx, c, f, clients, handOver)
+	ending := lifecycle.Limits{Longest: g.longest, KillKnown: g.killed, Resume: g.resume, Shared: inherited != nil}
+	life := newSupervisor(ending, clients, f, c, srv, g.depart, g.log)
+	g.operate(ctx, c, f, life, inherited != nil)
 	srv.ConnState, srv.ConnContext = clients.State, clients.ConnContext
 	go g.reloads(ctx, hup) // to the very end: SIGHUP may come while the gateway leaves
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(clients) }()
 	g.serving.Store(l.Addr().String())
 	g.log.Info("serving", "listen", l.Addr().String())
-	if err := untilTold(term, failed, &handed); err != nil {
-		return err
-	}
-	g.departure(inherited != nil, clients, f)
-	g.leave(ctx, srv, clients, c, f, inherited != nil)
+	err = life.run(ctx, term, failed)
 	_ = srv.Close()
 	checks.Log(g.log)
 	stop()
@@ -114,36 +98,7 @@
 	case <-worked:
 	case <-time.After(lastWork):
 	}
-	return nil
-}
-
-// untilTold waits until the process is told to end. A server that fails ends it at once, but
-// for one that a newer version has taken over from.
-func untilTold(term <-chan os.Signal, failed <-chan error, handed *atomic.Bool) error {
-	select {
-	case err := <-failed:
-		if !handed.Load() {
-			return fmt.Errorf("serve: %w", err)
-		}
-		<-term // the process runs until it is told to end
-	case <-term:
-	}
-	return nil
-}
-
-// departure tells the other gateways that this one is about to end, and stops taking clients
-// where others take them at once.
-func (g *gateway) departure(inherited bool, clients *clientconn.Listener, f front) {
-	g.log.Info("leaving")
-	if g.depart != nil {
-		g.depart()
-	}
-	if inherited { // the next version takes what comes from now on
-		clients.Close()
-	}
-	if !g.resume || inherited {
-		f.Close()
-	}
+	return err
 }
 
 // reloads reads the configuration anew on every signal. One that can't be used
--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -17,6 +17,7 @@
 	ErrTooBig = errors.New("the body is over 256 KiB")
 	ErrCut    = errors.New("the body was cut short")
 	ErrBusy   = errors.New("too many bodies are in hand")
+	ErrLate   = errors.New("the request was not whole when none was taken any more")
 )
 
 // Budget is what the bodies in hand may hold together.
@@ -33,7 +34,7 @@
 const firstRead = 8 << 10
 
 // Read reads a request's body. On success the caller must call free once it is
-// done with the request; ErrBusy proves that nothing was done. Only what has come
+// done with the request; ErrBusy and ErrLate prove that nothing was done. Only what has come
 // counts against the budget, not what a client says will come: one that declares
 // much and sends nothing must not keep others out.
 func (b *Budget) Read(w http.ResponseWriter, r *http.Request) (body []byte, free func(), err error) {
@@ -74,6 +75,9 @@
 	if tooBig := (*http.MaxBytesError)(nil); errors.As(err, &tooBig) {
 		return nil, nil, ErrTooBig
 	}
+	if errors.Is(err, ErrLate) {
+		return nil, nil, ErrLate
+	}
 	return nil, nil, ErrCut
 }
 
--- a/internal/clientconn/left.go
+++ b/internal/clientconn/left.go
@@ -85,6 +85,9 @@
 		at := pollFd{fd: int32(fd), events: pollRdHup}
 		var now syscall.Timespec
 		n, _, no := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&at)), 1, uintptr(unsafe.Pointer(&now)), 0, 0, 0)
+		for no == syscall.EINTR {
+			n, _, no = syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&at)), 1, uintptr(unsafe.Pointer(&now)), 0, 0, 0)
+		}
 		is = no == 0 && n > 0 && at.answer&(pollRdHup|pollHup|pollErr) != 0
 	})
 	return err != nil || is
--- a/internal/clientconn/listener.go
+++ b/internal/clientconn/listener.go
@@ -1,7 +1,6 @@
 package clientconn
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -11,18 +10,18 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"wellgw/decide/lifecycle"
 )
 
 // Who gives way when all connections are taken.
 const (
-	silentGrace   = 300 * time.Millisecond // a new connection has this long to bring its request
-	idleGrace     = 2 * time.Second        // and one that has had an answer, to bring the next
-	evictTries    = 8                      // connections looked at to make room for one
-	lingerFor     = 250 * time.Millisecond // from the end of the sending to the close: a client's answer has arrived
-	rejectMost    = 16                     // newcomers rejected at once: they are beyond the limit
-	rejectWait    = 50 * time.Millisecond  // for the request of a newcomer that is rejected
-	idleLookLeast = time.Millisecond       // pauses between looks for connections to shut
-	idleLookMost  = 20 * time.Millisecond
+	silentGrace = 300 * time.Millisecond // a new connection has this long to bring its request
+	idleGrace   = 2 * time.Second        // and one that has had an answer, to bring the next
+	evictTries  = 8                      // connections looked at to make room for one
+	lingerFor   = 250 * time.Millisecond // from the end of the sending to the close: a client's answer has arrived
+	rejectMost  = 16                     // newcomers rejected at once: they are beyond the limit
+	rejectWait  = 50 * time.Millisecond  // for the request of a newcomer that is rejected
 )
 
 // Listener accepts clients' connections, so many at once. When all are taken it
@@ -32,16 +31,22 @@
 type Listener struct {
 	net.Listener
 	limit     int
+	service   atomic.Pointer[lifecycle.Service]
 	mu        sync.Mutex
 	open      map[*Conn]bool
-	last      atomic.Bool   // no connection outlasts its answer; see Shutdown
+	emptied   []chan struct{} // closed once no connection is open
+	alarm     *time.Timer     // of the next sweep; nil before the first
+	alarmAt   time.Time
 	rejecting chan struct{} // bounds the newcomers that are being rejected
 	records   records
 }
 
 // NewListener returns a listener over l that holds limit connections at most.
 func NewListener(l net.Listener, limit int) *Listener {
-	return &Listener{Listener: l, limit: limit, open: map[*Conn]bool{}, rejecting: make(chan struct{}, rejectMost)}
+	out := &Listener{Listener: l, limit: limit, open: map[*Conn]bool{}, rejecting: make(chan struct{}, rejectMost)}
+	full := lifecycle.FullService()
+	out.service.Store(&full)
+	return out
 }
 
 // Accept returns the next connection there is room for. A newcomer that comes
@@ -60,12 +65,22 @@
 		}
 		l.mu.Unlock()
 		if room {
+			if !l.service.Load().Reusable {
+				l.scheduleSweep(c.opened.Add(lifecycle.NewConnection))
+			}
 			return c, nil
 		}
 		l.reject(nc)
 	}
 }
 
+// MakeRoom closes the connection that is missed least, where one may be closed.
+func (l *Listener) MakeRoom() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evict()
+}
+
 // reject closes a newcomer for whom there is no room. One whose request comes is answered
 // first. Where too many are being answered it is closed unread: its client sends once more.
 func (l *Listener) reject(nc net.Conn) {
@@ -99,7 +114,7 @@
 		c.mu.Lock()
 		c.answered++
 		c.since = time.Now()
-		over := l.last.Load() && c.frame.between() && c.frame.complete <= c.answered
+		over := !l.service.Load().Reusable && c.frame.between() && c.frame.complete <= c.answered
 		if c.shut = c.shut || over; over {
 			c.because(ClosedAnswered)
 		}
@@ -110,45 +125,6 @@
 	}
 }
 
-// Shutdown takes no more connections and waits until none is open or ctx ends. One that
-// rests is shut at once, any other when its request has been answered: a stream may have
-// begun before its client could be told that it was the last. Unlike net/http's own it never
-// shuts one whose request has been read: that one would be carried out with nobody left to
-// answer.
-func (l *Listener) Shutdown(ctx context.Context) error {
-	_ = l.Close()
-	l.last.Store(true)
-	for pause := idleLookLeast; ; pause = min(2*pause, idleLookMost) {
-		if l.CloseIdle() == 0 {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(pause):
-		}
-	}
-}
-
-// CloseIdle shuts the connections on which no request is in hand or on its way, and returns how
-// many were open. One that has yet to bring its first has a moment for it.
-func (l *Listener) CloseIdle() int {
-	l.mu.Lock()
-	now := time.Now()
-	var resting []*Conn
-	for c := range l.open {
-		if c.shutIfIdle(now, silentGrace) {
-			resting = append(resting, c)
-		}
-	}
-	open := len(l.open)
-	l.mu.Unlock()
-	for _, c := range resting {
-		_ = c.Close()
-	}
-	return open
-}
-
 // evict closes the connection that is missed least. The lock is held. Only the one
 // chosen is looked at on its socket: to look at all takes a call each, which under a
 // flood of newcomers cost over a third of the gateway's time.
@@ -166,11 +142,11 @@
 		if last == nil {
 			return false
 		}
-		if worst.between && !last.shutIfIdle(now, 0) { // its request has come and will be read
+		if worst.between && !last.shutIfIdle() { // its request has come and will be read
 			spared[last] = true
 			continue
 		}
-		delete(l.open, last)
+		l.forget(last)
 		last.answerPartial(noRoom, ClosedForRoom)
 		last.record()
 		last.Conn.Close()
@@ -235,6 +211,7 @@
 	half        bool   // net/http has ended the sending and waited
 	closing     bool   // Close has been called
 	watched     bool   // see watch
+	overdue     bool   // its request did not come to its end in time and is refused
 	stop        func() // ends the context of its requests; nil for none
 	reason      CloseReason
 	recorded    bool // its close is
@@ -294,8 +271,9 @@
 			}
 			c.mu.Unlock()
 		} else if err := c.raw.Read(c.step); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && c.answerPartial(requestTimeout, ClosedSlowRequest) {
-				_ = c.Close() // net/http would answer some of these too
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.readTimedOut()
+				err = c.readError(err)
 			}
 			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
 		}
@@ -306,6 +284,30 @@
 	}
 }
 
+// readTimedOut answers a request whose head did not come to its end. Of a body its reader learns.
+func (c *Conn) readTimedOut() {
+	c.mu.Lock()
+	overdue := c.overdue
+	c.mu.Unlock()
+	text, reason := requestTimeout, ClosedSlowRequest
+	if overdue {
+		text, reason = noRoom, ClosedLate
+	}
+	if c.answerPartial(text, reason) {
+		_ = c.Close() // net/http would answer some of these too
+	}
+}
+
+// readError names a read that was ended because its request is refused.
+func (c *Conn) readError(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.overdue {
+		return ErrLate
+	}
+	return err
+}
+
 // readStep takes what has come. What is read belongs to a request in hand from the same
 // moment on: a connection is shut before its bytes are read, or not at all.
 func (c *Conn) readStep(fd uintptr) bool {
@@ -315,6 +317,10 @@
 		c.read, c.err = 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: net.ErrClosed}
 		return true
 	}
+	if c.overdue { // nor is one that has been refused read on: it would be taken after all
+		c.read, c.err = 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: ErrLate}
+		return true
+	}
 	if c.lastInHand() && hasUnread(fd) {
 		c.leftOver = true
 		c.watch()
@@ -340,7 +346,7 @@
 // reads the first byte of a next request while one is in hand: that byte would count as a request
 // on its way and keep the connection open beyond the shutdown. The lock is held.
 func (c *Conn) lastInHand() bool {
-	return c.from.last.Load() && c.frame.complete > c.answered && c.frame.between()
+	return !c.from.service.Load().Reusable && c.frame.complete > c.answered && c.frame.between()
 }
 
 // take follows the frames of what has been read. The lock is held.
@@ -352,29 +358,23 @@
 		c.read, c.err = good, nil
 	}
 	c.watch()
-	if timeout := net.Error(nil); err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // ETIMEDOUT is no deadline of ours
 		c.gone = true
 	}
 }
 
 // shutIfIdle shuts a connection on which no request is in hand or on its way, and tells
-// whether it did. One that has yet to bring its first is spared while newer than spare.
-func (c *Conn) shutIfIdle(now time.Time, spare time.Duration) bool {
+// whether it did.
+func (c *Conn) shutIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	fresh := c.answered == 0 && now.Sub(c.since) < spare
 	if c.shut || c.closing { // a lingering one gives way to others
 		return true
 	}
-	if fresh || c.frame.complete > c.answered || !c.frame.between() || c.malformed || unread(c.Conn) {
+	if c.frame.complete > c.answered || !c.frame.between() || c.malformed || unread(c.Conn) {
 		return false
 	}
 	c.shut = true
-	if c.answered == 0 {
-		c.because(ClosedUnused)
-	} else {
-		c.because(ClosedIdle)
-	}
 	return true
 }
 
@@ -413,9 +413,7 @@
 
 // end closes the connection and makes room for another.
 func (c *Conn) end() error {
-	c.from.mu.Lock()
-	delete(c.from.open, c)
-	c.from.mu.Unlock()
+	c.from.remove(c)
 	c.mu.Lock()
 	stop := c.stop
 	c.mu.Unlock()
@@ -442,9 +440,19 @@
 	return err == nil && some
 }
 
-// hasUnread tells whether a socket holds bytes that nobody has read.
+// hasUnread tells whether a socket holds bytes that nobody has read. Where the system can't tell
+// for a moment, such as for want of memory, they are taken to be there: to close over them would
+// reset the connection under a request.
 func hasUnread(fd uintptr) bool {
 	var b [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n > 0 && err == nil
+	for {
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case err == nil:
+			return n > 0
+		}
+		return errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS)
+	}
 }
--- a/internal/clientconn/listener_test.go
+++ b/internal/clientconn/listener_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"wellgw/decide/lifecycle"
 	"wellgw/internal/enginetest"
 )
 
@@ -191,19 +192,19 @@
 	_, c, client := moment(t)
 	io.WriteString(client, ask)
 	enginetest.Eventually(t, "the request is there", func() bool { return unread(c.Conn) })
-	if c.shutIfIdle(time.Now(), 0) {
+	if c.shutIfIdle() {
 		t.Error("shut over a request that nobody has read")
 	}
 	if n, err := c.Read(read); n != len(ask) || err != nil {
 		t.Errorf("read %d, %v", n, err)
 	}
-	if c.shutIfIdle(time.Now(), 0) {
+	if c.shutIfIdle() {
 		t.Error("shut with a request in hand")
 	}
 
 	_, c, client = moment(t)
 	io.WriteString(client, ask[:1])
-	if n, err := c.Read(read); n != 1 || err != nil || c.shutIfIdle(time.Now(), 0) {
+	if n, err := c.Read(read); n != 1 || err != nil || c.shutIfIdle() {
 		t.Errorf("read %d, %v; or shut with a byte of a request read", n, err)
 	}
 
@@ -216,7 +217,7 @@
 		}
 		done <- err
 	}()
-	if !c.shutIfIdle(time.Now(), 0) {
+	if !c.shutIfIdle() {
 		t.Error("a resting connection is not shut")
 	}
 	io.WriteString(client, ask) // crosses the close
@@ -263,7 +264,7 @@
 		return part && len(l.open) == 4
 	})
 	done := make(chan error)
-	go func() { done <- l.Shutdown(t.Context()) }()
+	go func() { done <- shutdown(t, l) }()
 	if a := next(rest); a != "none" {
 		t.Errorf("the resting one got %q", a)
 	}
@@ -283,6 +284,15 @@
 	}
 }
 
+// shutdown takes no more connections, has those that are open end with their answers, and waits
+// until none is left.
+func shutdown(t *testing.T, l *Listener) error {
+	_ = l.Close()
+	late := time.Now().Add(time.Minute) // no bound of the service is reached
+	l.SetService(lifecycle.Service{RequestsUntil: late, AnswersUntil: late})
+	return l.Wait(t.Context())
+}
+
 // shutting begins a shutdown while the first of a client's requests, which is for /wait, is in
 // hand, and then lets it be answered.
 func shutting(t *testing.T, asked string) (c net.Conn, in *bufio.Reader, done chan error) {
@@ -290,8 +300,8 @@
 	c = dial(t, l.Addr().String(), asked)
 	<-waiting
 	done = make(chan error, 1)
-	go func() { done <- l.Shutdown(t.Context()) }()
-	enginetest.Eventually(t, "the shutdown has begun", l.last.Load)
+	go func() { done <- shutdown(t, l) }()
+	enginetest.Eventually(t, "the shutdown has begun", func() bool { return !l.service.Load().Reusable })
 	close(answer)
 	return c, bufio.NewReader(c), done
 }
@@ -341,8 +351,8 @@
 	<-waiting
 	c := onlyConn(t, l)
 	done := make(chan error, 1)
-	go func() { done <- l.Shutdown(t.Context()) }()
-	enginetest.Eventually(t, "the shutdown has begun", l.last.Load)
+	go func() { done <- shutdown(t, l) }()
+	enginetest.Eventually(t, "the shutdown has begun", func() bool { return !l.service.Load().Reusable })
 	io.WriteString(client, "GET /late HTTP/1.1\r\nHost: x\r\n\r\n")
 	enginetest.Eventually(t, "the late one is there", func() bool { return arrived(c) })
 	close(answer)
@@ -427,8 +437,8 @@
 // So is one that does so while the gateway shuts down.
 func TestPipelinedClientLeavingDuringShutdown(t *testing.T) {
 	testPipelinedClientLeaving(t, func(l *Listener) {
-		go l.Shutdown(t.Context())
-		enginetest.Eventually(t, "the shutdown has begun", l.last.Load)
+		go shutdown(t, l)
+		enginetest.Eventually(t, "the shutdown has begun", func() bool { return !l.service.Load().Reusable })
 	})
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -75,7 +75,8 @@
 // after that is taken as NO.
 type Handler func(ctx context.Context, c Call) bool
 
-// Serve answers calls from l until ctx ends or l fails; it closes l.
+// Serve answers calls from l until ctx ends or l fails, for good: errors that pass are l's to deal
+// with, see internal/accept. It closes l.
 func Serve(ctx context.Context, l net.Listener, h Handler, log *slog.Logger) error {
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
@@ -86,10 +87,6 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Timeout() {
-				continue
-			}
 			return err
 		}
 		select {
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"wellgw/decide/deduplication"
+	"wellgw/decide/lifecycle"
 	"wellgw/internal/clientconn"
 	"wellgw/internal/config"
 	"wellgw/internal/core"
@@ -54,7 +55,7 @@
 	bounds  *streambuffer.Bounds
 	book    atomic.Pointer[book]
 	started time.Time
-	closing atomic.Bool
+	service atomic.Pointer[lifecycle.Service]
 
 	counts   counts
 	keeping  atomic.Int64 // bytes of answers under way that are to be kept
@@ -75,6 +76,7 @@
 		core: o.Core, bodies: o.Bodies, keys: o.Keys, others: o.Others, started: time.Now(),
 		bounds: streambuffer.NewBounds(stallLimit, heldEach, o.Held), keepMost: o.Held,
 	}
+	f.SetService(lifecycle.FullService())
 	f.Reload(o.File)
 	return f
 }
@@ -99,14 +101,14 @@
 	f.book.Store(b)
 }
 
-// Close has every answer from now on end its connection.
-func (f *Front) Close() { f.closing.Store(true) }
+// SetService goes by what clients get from now on.
+func (f *Front) SetService(s lifecycle.Service) { f.service.Store(&s) }
 
 // ServeHTTP serves the chat API, the list of models and the health check.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.announceClose(w)
 	if r.URL.Path == "/healthz" {
-		if !f.core.Ready() || f.closing.Load() {
+		if !f.core.Ready() || !f.service.Load().Healthy {
 			http.Error(w, "no engine to send to", http.StatusServiceUnavailable)
 			return
 		}
@@ -142,9 +144,9 @@
 	}
 }
 
-// announceClose has the caller close its connection if the gateway is leaving.
+// announceClose tells the caller that its connection ends with this answer, if that is so.
 func (f *Front) announceClose(w http.ResponseWriter) {
-	if f.closing.Load() {
+	if !f.service.Load().Reusable {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -221,10 +223,16 @@
 	case errors.Is(err, clientconn.ErrTooBig):
 		clientconn.Reject(w, r)
 		apiError{status: http.StatusRequestEntityTooLarge, kind: typeRequest, code: codeTooBig, text: err.Error()}.send(w)
-	case errors.Is(err, clientconn.ErrBusy):
-		if name := r.Header.Get(keyHeader); name != "" && len(name) <= maxKey && f.keys != nil {
-			f.keys.Spare(deduplication.Key{Team: team.Name, Name: name})
+	case err == nil && !f.service.Load().TakesRequest(time.Now()), errors.Is(err, clientconn.ErrLate):
+		if err == nil {
+			free()
 		}
+		clientconn.Reject(w, r)
+		f.announceClose(w)
+		f.spareKey(r, team)
+		refusal(core.Answer{Verdict: core.Refused, RetryAfter: busyPause}, false).send(w)
+	case errors.Is(err, clientconn.ErrBusy):
+		f.spareKey(r, team)
 		refusal(core.Answer{Verdict: core.Refused, RetryAfter: busyPause}, false).send(w)
 	case err != nil:
 		clientconn.Reject(w, r)
@@ -235,6 +243,13 @@
 	return nil, nil, false
 }
 
+// spareKey notes that a request was turned away before it was read: its key has not run.
+func (f *Front) spareKey(r *http.Request, team *config.Team) {
+	if name := r.Header.Get(keyHeader); name != "" && len(name) <= maxKey && f.keys != nil {
+		f.keys.Spare(deduplication.Key{Team: team.Name, Name: name})
+	}
+}
+
 // accept parses a request and finds its contract. The error is what its client is told.
 func (b *book) accept(path string, raw []byte, team *config.Team) (*apiRequest, *typedAnswer, config.Contract, *apiError) {
 	var a *apiRequest
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -24,11 +24,12 @@
 
 // Desk answers calls. Its fields are set before the first call.
 type Desk struct {
-	Core    Core
-	Store   *ejectionfile.Store // nil keeps ejections in this process alone
-	Ready   func() bool         // this process can serve
-	Standby func(on bool)       // clients are sent away while on
-	Log     *slog.Logger
+	Core  Core
+	Store *ejectionfile.Store // nil keeps ejections in this process alone
+	Ready func() bool         // this process can serve
+	// Drain sends clients away while on; it tells whether the process could do what was asked.
+	Drain func(ctx context.Context, on bool) bool
+	Log   *slog.Logger
 
 	// With a Store, Self says it is ready there, and Newer is called once when a
 	// newer process says so; nil Newer for a process that shares no socket.
@@ -93,9 +94,7 @@
 	case control.Status:
 		return d.Ready()
 	case control.Standby, control.Active:
-		d.Standby(c.Verb == control.Standby)
-		d.Log.Info("clients' side", "standby", c.Verb == control.Standby)
-		return true
+		return d.Drain(ctx, c.Verb == control.Standby)
 	case control.MaintOn, control.MaintOff:
 		d.mu.Lock()
 		defer d.mu.Unlock()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"wellgw/decide/lifecycle"
 	"wellgw/internal/clientconn"
 	"wellgw/internal/core"
 	"wellgw/routing"
@@ -29,17 +30,16 @@
 	core    *core.Core
 	bodies  *clientconn.Budget
 	classes atomic.Pointer[map[string]bool] // known classes; swapped whole on a retune
-	closing atomic.Bool
-	standby atomic.Bool // operators send clients away
+	service atomic.Pointer[lifecycle.Service]
 }
 
-// Standby has health checks fail and every answer end its connection while on is
-// true; the front serves all that still comes.
-func (f *Front) Standby(on bool) { f.standby.Store(on) }
+// SetService goes by what clients get from now on.
+func (f *Front) SetService(s lifecycle.Service) { f.service.Store(&s) }
 
 // NewFront returns a front to a core that knows these classes.
 func NewFront(c *core.Core, classes []routing.Class, bodies *clientconn.Budget) *Front {
 	f := &Front{core: c, bodies: bodies}
+	f.SetService(lifecycle.FullService())
 	known := map[string]bool{}
 	for _, class := range classes {
 		known[class.Name] = true
@@ -62,16 +62,12 @@
 	f.classes.Store(&known)
 }
 
-// Close has every answer from now on end its connection. New requests are still
-// taken: clients keep coming until they have noticed.
-func (f *Front) Close() { f.closing.Store(true) }
-
 // ServeHTTP takes chat requests and answers health checks.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.announceClose(w)
 	switch r.URL.Path {
 	case "/healthz":
-		if !f.core.Ready() || f.closing.Load() || f.standby.Load() {
+		if !f.core.Ready() || !f.service.Load().Healthy {
 			http.Error(w, "no engine to send to", http.StatusServiceUnavailable)
 			return
 		}
@@ -84,9 +80,9 @@
 	}
 }
 
-// announceClose has the client close its connection if the gateway is leaving.
+// announceClose tells the client that its connection ends with this answer, if that is so.
 func (f *Front) announceClose(w http.ResponseWriter) {
-	if f.closing.Load() || f.standby.Load() {
+	if !f.service.Load().Reusable {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -116,12 +112,21 @@
 	case errors.Is(err, clientconn.ErrBusy):
 		refuse(w, core.Answer{Verdict: core.Refused, RetryAfter: busyPause})
 		return
+	case errors.Is(err, clientconn.ErrLate):
+		clientconn.Reject(w, r)
+		refuse(w, core.Answer{Verdict: core.Refused})
+		return
 	case err != nil:
 		clientconn.Reject(w, r)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	defer free()
+	if !f.service.Load().TakesRequest(time.Now()) {
+		f.announceClose(w)
+		refuse(w, core.Answer{Verdict: core.Refused})
+		return
+	}
 	q.Payload.Body = body
 	answer, ticket, here := core.Await(r.Context(), f.core, q)
 	if !here {
--- a/internal/platform/leave_test.go
+++ b/internal/platform/leave_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"net/http"
-
 	"testing"
+
+	"wellgw/decide/lifecycle"
 	"wellgw/internal/enginetest"
 )
 
@@ -23,11 +24,11 @@
 	if code, _ := health(); code != http.StatusOK {
 		t.Fatalf("before: %d", code)
 	}
-	f.Standby(true)
+	f.SetService(lifecycle.Service{Draining: true, Listening: true})
 	if code, closes := health(); code != http.StatusServiceUnavailable || !closes {
 		t.Errorf("standby: %d, connection closed %v", code, closes)
 	}
-	f.Standby(false)
+	f.SetService(lifecycle.FullService())
 	if code, closes := health(); code != http.StatusOK || closes {
 		t.Errorf("active: %d, connection closed %v", code, closes)
 	}
