Connections that this machine fails for a moment are opened again; ETIMEDOUT is a reset

Cause: EADDRNOTAVAIL, ENOBUFS, ENETUNREACH and their like failed an attempt at once, so the module blamed the engine for what its own machine lacked; a read that ended with ETIMEDOUT was taken for a deadline of the gateway's own, as net.OpError.Timeout says both. Change: the pool opens such a connection again for 150 ms, before anything is written; os.ErrDeadlineExceeded alone is a deadline. No request is written twice, none counts as written that is not.

--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -234,9 +235,11 @@
 
 // broken tells a connection that broke from an answer that is spoilt: bytes that
 // are none, or that stop in the middle. The engine that sent these is up and has
-// run the request.
+// run the request. ETIMEDOUT is a broken connection: only a deadline of ours is none.
 func broken(err error) routing.Status {
-	if op := (*net.OpError)(nil); errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op) && !op.Timeout() {
+	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+	op := (*net.OpError)(nil)
+	if ended || errors.As(err, &op) && !errors.Is(err, os.ErrDeadlineExceeded) {
 		return routing.StatusReset
 	}
 	return routing.StatusError
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"wellgw/internal/pause"
 )
 
 // Options are the figures of a pool.
@@ -37,6 +39,9 @@
 	sweepEvery  = 200 * time.Millisecond // how often idle connections are looked at
 	leastBuffer = 4 << 10
 	connectPart = 0.95 // of the connect time-out, so that ours comes first
+
+	firstReconnect = 5 * time.Millisecond   // after a connection that this machine failed, growing
+	reconnectFor   = 150 * time.Millisecond // tried again for no longer
 )
 
 var (
@@ -171,17 +176,46 @@
 	return &conn{Conn: nc, in: in, buffered: bufio.NewReaderSize(in, max(p.opt.ReadBuffer, leastBuffer)), addr: addr}, nil
 }
 
+// connect opens a connection. What fails on this machine for a moment, such as for want of a free
+// port, says nothing of the engine and is tried again for a moment: nothing has been written.
 func (p *Pool) connect(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
-	if p.opt.Dial == nil {
-		d := net.Dialer{Timeout: timeout, KeepAlive: -1}
-		return d.DialContext(ctx, "tcp", addr)
-	}
 	if timeout > 0 {
 		var done context.CancelFunc
 		ctx, done = context.WithTimeout(ctx, timeout)
 		defer done()
 	}
-	return p.opt.Dial(ctx, "tcp", addr)
+	begun := time.Now()
+	for wait := firstReconnect; ; wait *= 2 {
+		nc, err := p.dialOnce(ctx, addr)
+		if err == nil || !momentary(err) || time.Since(begun)+wait > reconnectFor {
+			return nc, err
+		}
+		if pause.Sleep(ctx, wait); ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
+func (p *Pool) dialOnce(ctx context.Context, addr string) (net.Conn, error) {
+	if p.opt.Dial != nil {
+		return p.opt.Dial(ctx, "tcp", addr)
+	}
+	d := net.Dialer{KeepAlive: -1}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// momentary tells whether a connection failed for want of something on this machine, or of a
+// route from it, that may be there again a moment later.
+func momentary(err error) bool {
+	for _, errno := range []syscall.Errno{
+		syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.ENETDOWN, syscall.ENETUNREACH,
+	} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
 }
 
 // bounded reads no more than is left. The library would read a head of any length.
