Starts of engines are read once, on the monotonic clock; a stepped wall clock moves none

Cause: core subtracted up_since_ms from the start of the process on the wall clock, for each list: after a step by an hour an engine that had just restarted counted as an hour warm, or all as cold. Change: decide/starttime turns a stamp into a time of the module's clock when it is first seen. Where the wall clock was stepped it takes the later start; a restart is no older than the former stamp's last sight.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"wellgw/decide/ejection"
+	"wellgw/decide/starttime"
 	"wellgw/internal/invariant"
+	"wellgw/internal/wallclock"
 	"wellgw/routing"
 )
 
@@ -29,6 +31,7 @@
 	checks    *invariant.Checks
 	observer  Observer // nil for none
 	origin    time.Time
+	wall      func() time.Time // the wall clock, which may be stepped: for stamps of others alone
 
 	queue chan func()
 	done  chan struct{}
@@ -37,6 +40,7 @@
 	// Owned by the goroutine of Run.
 	members    map[string]Member
 	ejections  *ejection.Set // engines out by hand
+	starts     *starttime.Table
 	requests   map[routing.RequestID]*request
 	wires      map[string]bool
 	lastID     routing.RequestID
@@ -54,10 +58,12 @@
 
 // New returns a core round a router. Run must be called for it to work.
 func New(r *routing.Router, e Engine, d Directory, fig Figures, log *slog.Logger, checks *invariant.Checks) *Core {
+	origin := time.Now().Add(-clockOrigin)
 	return &Core{
 		router: r, engine: e, directory: d, fig: fig, log: log, checks: checks,
 		loud:   log.Enabled(context.Background(), slog.LevelDebug),
-		origin: time.Now().Add(-clockOrigin),
+		origin: origin, wall: wallclock.Now,
+		starts: starttime.New(starttime.Clock{Now: clockOrigin, Wall: wallclock.Now()}),
 		queue:  make(chan func(), queueSize), done: make(chan struct{}),
 		members: map[string]Member{}, ejections: ejection.New(), requests: map[routing.RequestID]*request{}, unreleased: map[*request]bool{}, lastHeard: map[string]time.Time{},
 		wires: map[string]bool{}, counts: map[string]int{}, traffic: map[string]*Traffic{},
--- a/internal/core/ejection.go
+++ b/internal/core/ejection.go
@@ -34,6 +34,11 @@
 	c.post(func() { c.showEjections(c.ejections.Take(names, c.now())) })
 }
 
+// Ejected returns the names of the engines out by hand.
+func (c *Core) Ejected() []string {
+	return query(context.Background(), c, func() []string { return c.ejections.Names() })
+}
+
 // now is the module's clock.
 func (c *Core) now() routing.Time { return time.Since(c.origin) }
 
--- a/internal/core/ejection_test.go
+++ b/internal/core/ejection_test.go
@@ -80,3 +80,32 @@
 		}
 	}
 }
+
+// A step of the wall clock changes nothing for an engine whose start is known, and makes no engine
+// that has just restarted count as long warm.
+func TestStartsUnderWallClockSteps(t *testing.T) {
+	f := &fake{script: func(Attempt) (Stream, *Result) { return nil, nil }}
+	c := newCore(t, f)
+	step := func(d time.Duration) {
+		query(t.Context(), c, func() bool { c.wall = func() time.Time { return time.Now().Add(d).Round(0) }; return true })
+	}
+	list := func(started time.Time) (cameUp routing.Time) {
+		m := Member{EngineInfo: routing.EngineInfo{Name: "stepped", Kind: "r", Zone: "a", Phase: routing.PhaseOn}, StartedAt: started}
+		c.Roster(routing.RosterChanges, []Member{m})
+		return query(t.Context(), c, func() routing.Time { return c.members["stepped"].CameUp })
+	}
+	started := time.Now().Add(-time.Minute).Round(0)
+	first := list(started)
+	for _, d := range []time.Duration{time.Hour, -time.Hour, 3 * time.Second} {
+		if step(d); list(started) != first {
+			t.Errorf("a step of %v moved a start that was known", d)
+		}
+	}
+	for _, d := range []time.Duration{time.Hour, -time.Hour} {
+		step(d)
+		now := query(t.Context(), c, func() routing.Time { return c.now() })
+		if at := list(time.Now().Round(0)); at < now-time.Second || at > now+time.Minute {
+			t.Errorf("a restart just now, after a step of %v, is %v old", d, now-at)
+		}
+	}
+}
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wellgw/decide/starttime"
 	"wellgw/routing"
 )
 
@@ -18,10 +19,9 @@
 	if scope == routing.RosterFull || scope == routing.RosterCached {
 		clear(c.members)
 	}
+	clock := starttime.Clock{Now: c.now(), Wall: c.wall()}
 	for _, m := range members {
-		if m.CameUp = 0; !m.StartedAt.IsZero() {
-			m.CameUp = m.StartedAt.Sub(c.origin)
-		}
+		m.CameUp = c.starts.Start(m.Name, m.StartedAt, clock)
 		if c.members[m.Name] = m; m.Phase == routing.PhaseOff {
 			delete(c.members, m.Name)
 		}
