--- a/cmd/wellgw/operate.go
+++ b/cmd/wellgw/operate.go
@@ -16,6 +16,7 @@
 	"wellgw/internal/ejectionfile"
 	"wellgw/internal/operate"
 	"wellgw/internal/pause"
+	"wellgw/internal/wallclock"
 )
 
 // inheritedListener returns the clients' listener that the platform hands down,
@@ -62,7 +63,11 @@
 	// neither can be, nothing is read or polled.
 	if g.name != "" && (g.control != "" || handOver != nil) {
 		desk.Store = ejectionfile.Open(os.TempDir(), g.name)
-		desk.Self, desk.Newer = ejectionfile.Self{Started: time.Now(), PID: os.Getpid()}, handOver
+		var err error
+		if desk.Self, err = desk.Store.Claim(wallclock.Now(), os.Getpid()); err != nil {
+			g.log.Warn("the start is not written down; a process started later may not be seen to be newer", "cause", err)
+		}
+		desk.Newer = handOver
 		desk.Load()
 		go desk.Watch(ctx)
 	}
--- a/internal/ejectionfile/ejectionfile.go
+++ b/internal/ejectionfile/ejectionfile.go
@@ -8,21 +8,26 @@
 	"errors"
 	"fmt"
 	"io/fs"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
+
+	"wellgw/internal/files"
 )
 
-// maxSize bounds what is read of the file, in bytes.
-const maxSize = 1 << 20
+// Bounds of what is read, in bytes.
+const (
+	maxSize = 1 << 20
+	maxName = 1 << 10
+)
 
 // Store is the file of one gateway's ejections. It is safe for use by several
 // goroutines.
 type Store struct {
 	path  string // of the ejections
 	ready string // of the process that is ready
+	claim string // of the process that started last
 	mu    sync.Mutex
 	last  []byte // the content last written or read here
 }
@@ -35,13 +40,14 @@
 		}
 		return r
 	}, gateway)
-	return &Store{path: filepath.Join(dir, "wellgw-bans-"+clean), ready: filepath.Join(dir, "wellgw-ready-"+clean)}
+	at := func(kind string) string { return filepath.Join(dir, "wellgw-"+kind+"-"+clean) }
+	return &Store{path: at("bans"), ready: at("ready"), claim: at("start")}
 }
 
 // Path is the file's path.
 func (s *Store) Path() string { return s.path }
 
-// Write makes names the whole content of the file: written aside, then renamed,
+// Write makes names the whole content of the file: written aside, synced, then renamed,
 // so that a reader never sees half of it.
 func (s *Store) Write(names []string) error {
 	names = slices.Clone(names)
@@ -49,7 +55,7 @@
 	text := []byte(strings.Join(names, "\n") + "\n")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := writeAside(s.path, string(text)); err != nil {
+	if err := files.WriteAtomic(s.path, text); err != nil {
 		return fmt.Errorf("ejections: %w", err)
 	}
 	s.last = text
@@ -57,41 +63,40 @@
 }
 
 // Read returns the names in the file, and whether they differ from what this
-// store last wrote or read. A missing file is an empty set.
+// store last wrote or read. A missing file is an empty set. A file that Write can't have
+// written, such as half of one, wraps files.ErrDamaged and counts as unchanged.
 func (s *Store) Read() (names []string, changed bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	text, err := read(s.path)
+	text, err := files.Read(s.path, maxSize)
+	if errors.Is(err, fs.ErrNotExist) {
+		text, err = []byte("\n"), nil
+	}
+	if err == nil {
+		names, err = parse(text)
+	}
 	if err != nil {
-		return nil, false, err
+		return nil, false, fmt.Errorf("ejections: %s: %w", s.path, err)
 	}
-	changed = !bytes.Equal(text, s.last) && (s.last != nil || len(text) > 0)
+	empty := len(names) == 0 && s.last == nil // nothing, as before the first look
+	changed = !bytes.Equal(text, s.last) && !empty
 	s.last = text
-	for _, line := range strings.Split(string(text), "\n") {
-		if line = strings.TrimSpace(line); line != "" {
-			names = append(names, line)
-		}
-	}
 	return names, changed, nil
 }
 
-func read(path string) ([]byte, error) {
-	info, err := os.Stat(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return []byte{}, nil
+// parse reads one name a line. Every line of a whole file has its end.
+func parse(text []byte) (names []string, err error) {
+	if !bytes.HasSuffix(text, []byte("\n")) {
+		return nil, fmt.Errorf("%w: the last line has no end", files.ErrDamaged)
 	}
-	if err != nil {
-		return nil, fmt.Errorf("ejections: %w", err)
-	}
-	if info.Size() > maxSize {
-		return nil, fmt.Errorf("ejections: %s is over %d bytes", path, maxSize)
-	}
-	text, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return []byte{}, nil
-	}
-	if err != nil {
-		return nil, fmt.Errorf("ejections: %w", err)
+	for _, line := range strings.Split(string(text), "\n") {
+		if line = strings.TrimSpace(line); line == "" {
+			continue
+		}
+		if len(line) > maxName || strings.ContainsFunc(line, func(r rune) bool { return r < ' ' || r == 0x7f }) {
+			return nil, fmt.Errorf("%w: a line is no engine's name", files.ErrDamaged)
+		}
+		names = append(names, line)
 	}
-	return text, nil
+	return names, nil
 }
--- a/internal/ejectionfile/ready.go
+++ b/internal/ejectionfile/ready.go
@@ -1,17 +1,24 @@
 package ejectionfile
 
 import (
+	"errors"
 	"fmt"
-	"os"
+	"io/fs"
 	"strconv"
 	"strings"
 	"time"
+
+	"wellgw/internal/files"
 )
 
 // Self is one process of a gateway. Of two that share the clients' socket, the
 // newer takes the clients once it is ready; the older then takes nothing new.
+//
+// Started orders the processes. It is the wall clock's time at the start or, where that is not
+// later, one more than any process of this gateway has had (see Claim): a clock that was put back
+// makes no earlier process the newer one.
 type Self struct {
-	Started time.Time // when this process began
+	Started time.Time
 	PID     int
 }
 
@@ -23,38 +30,55 @@
 	return o.PID > s.PID
 }
 
-// MarkReady says in the file beside the ejections that s is ready to serve.
-func (s *Store) MarkReady(self Self) error {
-	return writeAside(s.ready, strconv.FormatInt(self.Started.UnixNano(), 10)+" "+strconv.Itoa(self.PID)+"\n")
+// Claim returns this process as the newest of its gateway, and writes that down: a process that
+// starts later is newer, whatever the wall clock says by then. With an error the result is still
+// newer than all that could be read.
+func (s *Store) Claim(wall time.Time, pid int) (Self, error) {
+	self := Self{Started: wall.Round(0), PID: pid}
+	var errs []error
+	for _, path := range []string{s.path, s.ready, s.claim} {
+		errs = append(errs, files.RemoveStale(path))
+	}
+	for _, path := range []string{s.claim, s.ready} {
+		former, err := readSelf(path)
+		switch {
+		case err == nil && !former.Started.Before(self.Started):
+			self.Started = former.Started.Add(1)
+		case err != nil && !errors.Is(err, fs.ErrNotExist):
+			errs = append(errs, err)
+		}
+	}
+	errs = append(errs, writeSelf(s.claim, self))
+	return self, errors.Join(errs...)
 }
 
+// MarkReady says in the file beside the ejections that self is ready to serve.
+func (s *Store) MarkReady(self Self) error { return writeSelf(s.ready, self) }
+
 // Ready returns the process that last said it was ready; false if none did.
 func (s *Store) Ready() (Self, bool) {
-	text, err := os.ReadFile(s.ready)
-	if err != nil {
-		return Self{}, false
-	}
-	f := strings.Fields(string(text))
-	if len(f) != 2 {
-		return Self{}, false
-	}
-	ns, err1 := strconv.ParseInt(f[0], 10, 64)
-	pid, err2 := strconv.Atoi(f[1])
-	if err1 != nil || err2 != nil {
-		return Self{}, false
-	}
-	return Self{Started: time.Unix(0, ns), PID: pid}, true
+	self, err := readSelf(s.ready)
+	return self, err == nil
+}
+
+func writeSelf(path string, self Self) error {
+	return files.WriteAtomic(path, []byte(strconv.FormatInt(self.Started.UnixNano(), 10)+" "+strconv.Itoa(self.PID)+"\n"))
 }
 
-// writeAside writes text to a file beside path, then renames it into place, so
-// that a reader never sees half of it.
-func writeAside(path, text string) error {
-	aside := path + ".new"
-	if err := os.WriteFile(aside, []byte(text), 0o600); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+// readSelf reads a process. Half a file, which could name an earlier or later one, is an error.
+func readSelf(path string) (Self, error) {
+	text, err := files.Read(path, maxSize)
+	if err != nil {
+		return Self{}, err
+	}
+	field := strings.Fields(string(text))
+	if len(field) != 2 || !strings.HasSuffix(string(text), "\n") {
+		return Self{}, fmt.Errorf("%s: %w: not a start and a process id", path, files.ErrDamaged)
 	}
-	if err := os.Rename(aside, path); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+	started, err1 := strconv.ParseInt(field[0], 10, 64)
+	pid, err2 := strconv.Atoi(field[1])
+	if err := errors.Join(err1, err2); err != nil {
+		return Self{}, fmt.Errorf("%s: %w: %w", path, files.ErrDamaged, err)
 	}
-	return nil
+	return Self{Started: time.Unix(0, started), PID: pid}, nil
 }
--- a/internal/lastview/lastview.go
+++ b/internal/lastview/lastview.go
@@ -16,10 +16,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/renameio/v2"
 	jsoniter "github.com/json-iterator/go"
 
 	"wellgw/decide/roster"
+	"wellgw/internal/files"
 )
 
 // The header is magic, version, and the sum of the body in hex.
@@ -63,7 +63,7 @@
 		return fmt.Errorf("last view: %w", err)
 	}
 	text := fmt.Appendf(nil, "%s %d %016x\n", magic, version, xxhash.Sum64(body))
-	if err := renameio.WriteFile(path, append(text, body...), 0o600); err != nil {
+	if err := files.WriteAtomic(path, append(text, body...)); err != nil {
 		return fmt.Errorf("last view: %w", err)
 	}
 	return nil
@@ -72,14 +72,10 @@
 // Load reads the file at path. It returns an error that wraps fs.ErrNotExist if
 // there is none, and one that wraps ErrDamaged if it can't be what Save wrote.
 func Load(path string) (View, error) {
-	info, err := os.Stat(path)
-	if err != nil {
-		return View{}, fmt.Errorf("last view: %w", err)
-	}
-	if info.Size() > maxFile {
-		return View{}, fmt.Errorf("last view: %w: %d bytes", ErrDamaged, info.Size())
+	raw, err := files.Read(path, maxFile)
+	if errors.Is(err, files.ErrDamaged) {
+		return View{}, fmt.Errorf("last view: %w: %w", ErrDamaged, err)
 	}
-	raw, err := os.ReadFile(path)
 	if err != nil {
 		return View{}, fmt.Errorf("last view: %w", err)
 	}
--- a/internal/peers/incarnation.go
+++ b/internal/peers/incarnation.go
@@ -4,65 +4,70 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
+	"io/fs"
 	"strconv"
 	"strings"
 	"time"
+
+	"wellgw/internal/files"
 )
 
+// incarnationSize bounds the file, in bytes.
+const incarnationSize = 64
+
 // startIncarnation is above that of an earlier life, by what was written down or, without
-// it, by the clock. The tier corrects it if both are lost.
-func startIncarnation(path string) (uint64, error) {
-	clock := uint64(time.Now().Unix())
+// it, by the clock. The tier corrects it if both are lost. An error tells of a file that can't be
+// read or written: it is no reason not to start.
+func startIncarnation(path string, wall time.Time) (uint64, error) {
+	clock := uint64(wall.Unix())
 	if path == "" {
 		return clock, nil
 	}
-	text, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return clock, writeIncarnation(path, clock)
-	}
-	if err != nil {
-		return 0, fmt.Errorf("peers.incarnation_file: %w", err)
-	}
-	last, err := strconv.ParseUint(strings.TrimSpace(string(text)), 10, 64)
-	if err != nil { // cut off or overwritten: the tier knows better
-		last = 0
+	next := clock
+	text, err := files.Read(path, incarnationSize)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		err = nil
+	case err == nil:
+		var last uint64
+		if last, err = strconv.ParseUint(strings.TrimSpace(string(text)), 10, 64); err == nil {
+			next = max(last+1, clock)
+		}
 	}
-	next := max(last+1, clock)
-	return next, writeIncarnation(path, next)
+	return next, errors.Join(err, writeIncarnation(path, next))
 }
 
 // writeIncarnation replaces the file whole.
 func writeIncarnation(path string, n uint64) error {
-	f, err := os.CreateTemp(filepath.Dir(path), ".incarnation")
-	if err != nil {
-		return fmt.Errorf("peers.incarnation_file: %w", err)
-	}
-	defer os.Remove(f.Name())
-	_, err = fmt.Fprintln(f, n)
-	if err = errors.Join(err, f.Sync(), f.Close()); err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	if err != nil {
+	if err := files.WriteAtomic(path, []byte(strconv.FormatUint(n, 10)+"\n")); err != nil {
 		return fmt.Errorf("peers.incarnation_file: %w", err)
 	}
 	return nil
 }
 
-// keepIncarnation writes down what the tier has made us raise.
+// incarnationRetry is how soon an incarnation that could not be written is tried again.
+const incarnationRetry = time.Second
+
+// keepIncarnation writes down what the tier has made us raise, and tries again what could not be
+// written.
 func (p *Peers) keepIncarnation(ctx context.Context) {
+	unwritten := uint64(0)
+	retry := time.NewTicker(incarnationRetry)
+	defer retry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case n := <-p.inc:
-			if p.opt.IncarnationFile == "" {
-				continue
-			}
-			if err := writeIncarnation(p.opt.IncarnationFile, n); err != nil {
-				p.opt.Log.Warn("incarnation not written", "cause", err)
-			}
+		case unwritten = <-p.inc:
+		case <-retry.C:
+		}
+		if p.opt.IncarnationFile == "" || unwritten == 0 {
+			continue
+		}
+		if err := writeIncarnation(p.opt.IncarnationFile, unwritten); err != nil {
+			p.opt.Log.Warn("incarnation not written", "cause", err)
+			continue
 		}
+		unwritten = 0
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"wellgw/decide/membership"
+	"wellgw/internal/wallclock"
 )
 
 // Options set a gateway's part in its tier up.
@@ -110,10 +111,10 @@
 		}
 		public = a.String()
 	}
-	incarnation, err := startIncarnation(opt.IncarnationFile)
-	if err != nil {
-		conn.Close()
-		return nil, err
+	incarnation, err := startIncarnation(opt.IncarnationFile, wallclock.Now())
+	unkept := err
+	if unkept != nil {
+		opt.Log.Warn("incarnation not kept; the tier corrects it", "cause", unkept)
 	}
 	var random [8]byte
 	if _, err := rand.Read(random[:]); err != nil {
@@ -130,6 +131,9 @@
 		ID: opt.Name, Addr: public, Instance: p.me.instance, Incarnation: incarnation, Join: join,
 		Expect: opt.Expect, Seed: p.me.random, Fits: Fits, Plain: opt.Plain, Interval: opt.Interval, Timeout: opt.Timeout, DeadAfter: opt.DeadAfter,
 	}, 0)
+	if unkept != nil {
+		p.inc <- incarnation // to be written as soon as it can be
+	}
 	p.publish()
 	opt.Log.Info("peers", "listen", p.Addr(), "reached", public)
 	return p, nil
