Ages of idempotency keys go by how long the machine has run; none is run while unwritable

Cause: ages went by the wall clock over a restart, so a step forward forgot keys early and an order could run twice; while the file could not be written, orders ran of which a process started after a kill knew nothing. Change: each key is stored with the machine's up time and boot id; where these can't tell, the key counts as new. While writes fail, orders under new keys are refused (nothing was done). Suspect proved by reading.

--- a/internal/idempotency/keeper.go
+++ b/internal/idempotency/keeper.go
@@ -26,6 +26,7 @@
 	bolterrors "go.etcd.io/bbolt/errors"
 
 	"wellgw/decide/deduplication"
+	"wellgw/internal/bootclock"
 )
 
 // How often the file is written and old keys are looked for, and how long another
@@ -57,6 +58,7 @@
 	table   *deduplication.Table
 	changed map[deduplication.Key]*deduplication.Entry // to be written; nil = to be deleted
 	db      *bbolt.DB                                  // nil without a file
+	failing bool                                       // the file could not be written the last time
 }
 
 // Open returns a keeper with what the file at path holds; path may be empty. A file that
@@ -118,6 +120,7 @@
 		}
 		return nil, false, err
 	}
+	moment := k.moment()
 	err = db.Update(func(tx *bbolt.Tx) error {
 		for wrong := range tx.Check() {
 			return fmt.Errorf("%w: %w", errDamaged, wrong)
@@ -135,7 +138,7 @@
 			return err
 		}
 		if err := keys.ForEach(func(name, raw []byte) error {
-			e, err := read(raw)
+			e, err := read(raw, moment)
 			if err != nil {
 				return fmt.Errorf("%w: key %q: %w", errDamaged, name, err)
 			}
@@ -158,16 +161,31 @@
 
 const sumSize = 8
 
-func read(raw []byte) (e deduplication.Entry, err error) {
+// stored is an entry as the file has it. The entry's times are by the wall clock, which may be
+// stepped; its age goes by the moment that is stored with it.
+type stored struct {
+	deduplication.Entry
+	At bootclock.Moment
+}
+
+// read returns an entry with its age at now. One whose age can't be told, as the machine has been
+// started anew or an earlier version wrote it, counts as new: it is remembered for too long, never
+// forgotten too soon.
+func read(raw []byte, now bootclock.Moment) (deduplication.Entry, error) {
 	if len(raw) < sumSize || binary.BigEndian.Uint64(raw) != xxhash.Sum64(raw[sumSize:]) {
-		return e, errors.New("its checksum is wrong")
+		return deduplication.Entry{}, errors.New("its checksum is wrong")
+	}
+	var s stored
+	if err := jsoniter.Unmarshal(raw[sumSize:], &s); err != nil {
+		return deduplication.Entry{}, err
 	}
-	err = jsoniter.Unmarshal(raw[sumSize:], &e)
-	return e, err
+	age, _ := now.Since(s.At)
+	s.Entry.Since = time.Now().Add(-age)
+	return s.Entry, nil
 }
 
-func written(e deduplication.Entry) ([]byte, error) {
-	body, err := jsoniter.Marshal(e)
+func written(e deduplication.Entry, now bootclock.Moment) ([]byte, error) {
+	body, err := jsoniter.Marshal(stored{Entry: e, At: now.Ago(time.Since(e.Since))})
 	if err != nil {
 		return nil, err
 	}
@@ -177,10 +195,16 @@
 func name(k deduplication.Key) []byte { return []byte(k.Team + "\x00" + k.Name) }
 
 // Begin decides on a request; see deduplication.Table. With deduplication.Run, End must follow.
+// While the file can't be written nothing is run: a process killed then would not know of it.
 func (k *Keeper) Begin(a deduplication.Ask) (deduplication.Verdict, deduplication.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	v, e := k.table.Begin(time.Now(), a)
+	if v == deduplication.Run && k.failing {
+		k.table.End(time.Now(), a.Key, a.ID, deduplication.NotRun, "", nil)
+		k.note(deduplication.Entry{}, false)
+		return deduplication.Full, deduplication.Entry{Key: a.Key}
+	}
 	k.note(e, v == deduplication.Run)
 	return v, e
 }
@@ -241,7 +265,10 @@
 		case <-write.C:
 			err := k.flush(false)
 			if err != nil && !failing {
-				k.log.Error("idempotency keys can't be written; they are kept in memory", "cause", err)
+				k.log.Error("idempotency keys can't be written; orders under new ones are refused meanwhile", "cause", err)
+			}
+			if err == nil && failing {
+				k.log.Info("idempotency keys are written again")
 			}
 			failing = err != nil
 		case <-expire.C:
@@ -263,6 +290,7 @@
 	}
 	k.changed = map[deduplication.Key]*deduplication.Entry{}
 	k.mu.Unlock()
+	moment := k.moment()
 	err := db.Update(func(tx *bbolt.Tx) error {
 		keys := tx.Bucket(bucketKeys)
 		for key, e := range todo {
@@ -272,7 +300,7 @@
 				}
 				continue
 			}
-			raw, err := written(*e)
+			raw, err := written(*e, moment)
 			if err != nil {
 				return err
 			}
@@ -285,9 +313,9 @@
 		}
 		return nil
 	})
-	if err != nil {
-		k.mu.Lock()
-		defer k.mu.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.failing = err != nil; k.failing {
 		for key, e := range todo {
 			if _, newer := k.changed[key]; !newer {
 				k.changed[key] = e
@@ -297,6 +325,15 @@
 	return err
 }
 
+// moment is the present one, or the zero value, with which ages can't be told.
+func (k *Keeper) moment() bootclock.Moment {
+	m, err := bootclock.Now()
+	if err != nil {
+		k.log.Warn("ages of idempotency keys can't be told; they are remembered for longer", "cause", err)
+	}
+	return m
+}
+
 // Close writes what is left and closes the file. A request that still runs is in it as
 // such, and so counts as one whose fate is unknown when it is read.
 func (k *Keeper) Close() error {
--- a/internal/idempotency/keeper_test.go
+++ b/internal/idempotency/keeper_test.go
@@ -1,12 +1,18 @@
 package idempotency
 
 import (
+	"encoding/binary"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	jsoniter "github.com/json-iterator/go"
 
 	"wellgw/decide/deduplication"
+	"wellgw/internal/bootclock"
 )
 
 func open(t *testing.T, path string) *Keeper {
@@ -128,3 +134,68 @@
 	}
 	return b
 }
+
+// A key is remembered for its whole age, whatever the wall clock says at the next start: its age
+// goes by how long the machine has run.
+func TestAgeOfKeysIgnoresWallClock(t *testing.T) {
+	now, err := bootclock.Now()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const hour = time.Hour
+	for _, c := range []struct {
+		name  string
+		since time.Duration // how old the key is by the wall clock, which may have been stepped
+		at    bootclock.Moment
+		want  time.Duration
+	}{
+		{"no step", hour, now.Ago(hour), hour},
+		{"stepped forward", 100 * hour, now.Ago(hour), hour},
+		{"put back", -100 * hour, now.Ago(hour), hour},
+		{"the machine was started anew", 100 * hour, bootclock.Moment{Boot: "another", Up: 1}, 0},
+		{"written by an earlier version", 100 * hour, bootclock.Moment{}, 0},
+	} {
+		e := deduplication.Entry{Key: ask("a").Key, Digest: "d", State: deduplication.Complete, Since: time.Now().Add(-c.since)}
+		body, err := jsoniter.Marshal(stored{Entry: e, At: c.at})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := read(append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(body)), body...), now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if age := time.Since(got.Since); age < c.want || age > c.want+time.Minute {
+			t.Errorf("%s: %v old, want %v", c.name, age, c.want)
+		}
+	}
+}
+
+// While the file can't be written no order is run that a process started after a kill would not know
+// of; what was taken on before is written as soon as it can be.
+func TestNoOrdersWhileFileCannotBeWritten(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "keys")
+	k := open(t, path)
+	begin(t, k, "before", deduplication.Run)
+	if err := k.db.Close(); err != nil { // every write fails from now on
+		t.Fatal(err)
+	}
+	if err := k.flush(false); err == nil {
+		t.Fatal("written to a closed file")
+	}
+	begin(t, k, "new", deduplication.Full)
+	begin(t, k, "new", deduplication.Full)
+	begin(t, k, "before", deduplication.UnderWay)
+	if _, _, err := k.load(path); err != nil { // it can be written again
+		t.Fatal(err)
+	}
+	if err := k.flush(false); err != nil {
+		t.Fatal(err)
+	}
+	begin(t, k, "new", deduplication.Run)
+	if err := k.db.Close(); err != nil { // a kill
+		t.Fatal(err)
+	}
+	next := open(t, path)
+	defer next.Close()
+	begin(t, next, "before", deduplication.Lost)
+}
