Stalled logs, lost call lines and exhausted descriptors end nothing; tests with programs

Cause: the log was written by whoever logs, so a reader that stalled stopped the gateway and one that had gone ended it by SIGPIPE; SIGXFSZ would too. A process allowed fewer descriptors than its file says gave clients all of them. Change: lines are queued, dropped ones are counted in the log; both signals are ignored (writes fail with EPIPE and EFBIG); descriptors go by what the system allows; the admin listener accepts through errors that pass.

--- a/cmd/wellgw/directory.go
+++ b/cmd/wellgw/directory.go
@@ -12,6 +12,7 @@
 
 	"wellgw/decide/rolechange"
 	"wellgw/decide/roster"
+	"wellgw/internal/accept"
 	"wellgw/internal/admin"
 	"wellgw/internal/config"
 	"wellgw/internal/consul"
@@ -201,7 +202,7 @@
 		shown.Peers = s.peers.Status
 		pages[admin.PeersPath] = func() any { return s.peers.Status() }
 	}
-	admin.Serve(ctx, s.admin, pages, map[string]http.Handler{telemetry.Path: telemetry.Handler(shown)}, s.log)
+	admin.Serve(ctx, accept.New(s.admin, s.log), pages, map[string]http.Handler{telemetry.Path: telemetry.Handler(shown)}, s.log)
 }
 
 func setOf[T comparable](list []T) map[T]bool {
--- a/cmd/wellgw/drain_test.go
+++ b/cmd/wellgw/drain_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 // drained is a gateway with one prefill and one decode engine that takes operators' calls.
 type drained struct {
 	t       *testing.T
+	cmd     *exec.Cmd
 	addr    string
 	control string
 	lines   *logLines
@@ -63,13 +65,16 @@
 	t.Helper()
 	prefill := enginetest.NewEngine(t, until(read))
 	decode := enginetest.NewEngine(t, until(writer))
-	env := []string{
-		"EDGE_CONFIG=" + platformFile(t, "n1", "127.0.0.1:1", testSettings, prefill, decode),
-		"EDGE_CONTROL=127.0.0.1:0", "TMPDIR=" + t.TempDir(),
-	}
+	config := platformFile(t, "n1", "127.0.0.1:1", testSettings, prefill, decode)
+	return startGateway(t, []string{"EDGE_CONFIG=" + config, "EDGE_CONTROL=127.0.0.1:0", "TMPDIR=" + t.TempDir()})
+}
+
+// startGateway starts a gateway that takes calls, and keeps its log.
+func startGateway(t *testing.T, env []string) *drained {
+	t.Helper()
 	cmd := program(t, env, "serve", "--verbose")
 	errs, log := startLogged(t, cmd)
-	d := &drained{t: t, lines: &logLines{}}
+	d := &drained{t: t, cmd: cmd, lines: &logLines{}}
 	for (d.addr == "" || d.control == "") && log.Scan() {
 		d.lines.add(log.Text())
 		if m := calling.FindStringSubmatch(log.Text()); m != nil {
--- a/cmd/wellgw/gateway.go
+++ b/cmd/wellgw/gateway.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"wellgw/decide/lifecycle"
@@ -81,6 +82,10 @@
 // takes half: a new version may run beside it.
 func (g *gateway) fit(inherited bool) config.Limits {
 	limits := g.limits
+	if most := descriptorLimit(); most > 0 && most < limits.Sockets {
+		g.log.Warn("fewer descriptors than the configuration allows", "configured", limits.Sockets, "allowed", most)
+		limits.Sockets = most
+	}
 	if inherited {
 		limits.MemoryMB, limits.Sockets = limits.MemoryMB/2, limits.Sockets/2
 	}
@@ -88,6 +93,16 @@
 	return limits
 }
 
+// descriptorLimit is how many descriptors the system lets this process have; 0 if that can't be
+// told. Clients must not be given so many that none is left for operators' calls.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
+
 // startCore starts the core with its pool of at most so many connections to engines, and the
 // directory, whose end worked tells.
 func (g *gateway) startCore(ctx context.Context, connections int, checks *invariant.Checks) (c *core.Core, worked <-chan struct{}, err error) {
--- a/cmd/wellgw/main.go
+++ b/cmd/wellgw/main.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	jsoniter "github.com/json-iterator/go"
 	"github.com/urfave/cli/v3"
@@ -41,7 +43,10 @@
 }
 
 func serve(ctx context.Context, cmd *cli.Command) error {
-	log := logging.New(os.Stderr, cmd.Bool("verbose"))
+	signal.Ignore(syscall.SIGPIPE, syscall.SIGXFSZ) // writes fail with EPIPE and EFBIG; nobody who reads the log, and no full disk, ends the process
+	lines := logging.NewQueue(os.Stderr)
+	defer lines.Close(lastLines)
+	log := logging.New(lines, cmd.Bool("verbose"))
 	if path := cmd.String("operator"); path != "" {
 		o, err := config.ReadOperator(path)
 		if err != nil {
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -23,6 +23,7 @@
 	spareSockets = 32                      // descriptors for all but clients and engines
 	quietFor     = time.Second             // with no request for so long clients have noticed
 	lastWork     = 1500 * time.Millisecond // for what the directory still has to do
+	lastLines    = 200 * time.Millisecond  // for the last lines of the log
 	lastSpans    = 250 * time.Millisecond  // for the last spans to be written
 
 	// A client that is left waiting for 5 s after a stream's last event has lost it
