System calls and the wall clock can be made to fail, in builds with the tag faultinject

Cause: accepts, connects, short and interrupted reads, failing files and a stepped wall clock could not be played with real processes. Change: internal/faultinject holds the seams; in the release each function does only what its name says.

--- a/internal/clientconn/listener.go
+++ b/internal/clientconn/listener.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wellgw/decide/lifecycle"
+	"wellgw/internal/faultinject"
 )
 
 // Who gives way when all connections are taken.
@@ -326,9 +327,9 @@
 		c.watch()
 		return false
 	}
-	n, err := syscall.Read(int(fd), c.into)
+	n, err := faultinject.Read(int(fd), c.into)
 	for errors.Is(err, syscall.EINTR) {
-		n, err = syscall.Read(int(fd), c.into)
+		n, err = faultinject.Read(int(fd), c.into)
 	}
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
--- a/internal/files/files.go
+++ b/internal/files/files.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/google/renameio/v2"
+
+	"wellgw/internal/faultinject"
 )
 
 // ErrDamaged is wrapped by errors about what a file holds.
@@ -29,7 +31,7 @@
 		return nil, err
 	}
 	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(faultyReader(f), limit+1))
+	text, err := io.ReadAll(io.LimitReader(faultinject.Reader(f), limit+1))
 	if err != nil {
 		return nil, err
 	}
@@ -43,7 +45,7 @@
 // renamed. A reader sees the former content or the new one, and so does the next process if this
 // one is killed meanwhile.
 func WriteAtomic(path string, text []byte) error {
-	if err := faultBeforeWrite(path, text); err != nil {
+	if err := faultinject.BeforeWrite(path, text); err != nil {
 		return err
 	}
 	return renameio.WriteFile(path, text, mode, renameio.WithTempDir(filepath.Dir(path)))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"wellgw/internal/faultinject"
 	"wellgw/internal/pause"
 )
 
@@ -201,7 +202,7 @@
 		return p.opt.Dial(ctx, "tcp", addr)
 	}
 	d := net.Dialer{KeepAlive: -1}
-	return d.DialContext(ctx, "tcp", addr)
+	return faultinject.Dial(ctx, "tcp", addr, d.DialContext)
 }
 
 // momentary tells whether a connection failed for want of something on this machine, or of a
--- a/internal/wallclock/wallclock.go
+++ b/internal/wallclock/wallclock.go
@@ -3,11 +3,12 @@
 // which go by the monotonic clock.
 package wallclock
 
-import "time"
+import (
+	"time"
 
-// read is the clock. Builds with the tag faultinject step it.
-var read = time.Now
+	"wellgw/internal/faultinject"
+)
 
 // Now returns the time on the wall clock, without a monotonic reading: two such times differ by
 // what the wall clock says, steps included.
-func Now() time.Time { return read().Round(0) }
+func Now() time.Time { return faultinject.WallClock().Round(0) }
