wellgwlab run soak: drawn settings, faults, signals and calls with real processes

Cause: no test drew signals and calls in series beside faults of the system, with clients that use open connections up to the kill. Not covered: cold engines' budgets, goroutines, zones, partitions between processes.

--- a/cmd/wellgwlab/main.go
+++ b/cmd/wellgwlab/main.go
@@ -19,12 +19,13 @@
 	"wellgw/experiments/fleetsim"
 	"wellgw/experiments/membersrun"
 	"wellgw/experiments/rolesrun"
+	"wellgw/experiments/soak"
 	"wellgw/internal/openai/conformance"
 )
 
 // all returns the experiments that can be run.
 func all() []experiments.Experiment {
-	return []experiments.Experiment{consulrun.Experiment(), rolesrun.Experiment(), chatrun.Experiment(), fleetsim.Experiment(), fleetrun.Experiment(), membersrun.Experiment()}
+	return []experiments.Experiment{consulrun.Experiment(), rolesrun.Experiment(), chatrun.Experiment(), fleetsim.Experiment(), fleetrun.Experiment(), membersrun.Experiment(), soak.Experiment()}
 }
 
 func main() {
@@ -37,7 +38,8 @@
 				&cli.BoolFlag{Name: "write", Usage: "keep tables and charts under docs/results/NAME"},
 				&cli.StringFlag{Name: "program", Usage: "the gateway's `FILE`; default: wellgw beside this program"},
 				&cli.StringFlag{Name: "former", Usage: "a former version's gateway `FILE`, to compare with"},
-				&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the load"},
+				&cli.Uint64Flag{Name: "seed", Aliases: []string{"first"}, Value: 1, Usage: "of the load; the first, where several are played"},
+				&cli.IntFlag{Name: "seeds", Usage: "play so many seeds, where an experiment plays several"},
 				&cli.StringFlag{Name: "schedule", Usage: "play the faults in `FILE`, as an earlier run has written them, where the experiment has a schedule"},
 				&cli.BoolFlag{Name: "shrink", Usage: "cut a schedule that fails to the shortest that still does"},
 				&cli.StringFlag{Name: "keep", Usage: "keep the gateways' files and logs in `FOLDER`"},
@@ -112,7 +114,7 @@
 		defer os.RemoveAll(work)
 	}
 	out := cmd.Root().Writer
-	r, err := e.Run(ctx, experiments.Options{Quick: cmd.Bool("quick"), Program: program, Former: cmd.String("former"), Work: work, Out: out, Seed: cmd.Uint64("seed"),
+	r, err := e.Run(ctx, experiments.Options{Quick: cmd.Bool("quick"), Program: program, Former: cmd.String("former"), Work: work, Out: out, Seed: cmd.Uint64("seed"), Seeds: cmd.Int("seeds"),
 		Schedule: cmd.String("schedule"), Shrink: cmd.Bool("shrink"),
 	})
 	if err != nil {
--- a/experiments/experiments.go
+++ b/experiments/experiments.go
@@ -33,6 +33,7 @@
 	Work    string // a folder for files, removed after
 	Out     io.Writer
 	Seed    uint64
+	Seeds   int // how many seeds from Seed on, where an experiment plays several; 0 for its usual number
 
 	Schedule string // a file of faults to play in place of those of the seed; "" for those
 	Shrink   bool   // a schedule that fails is cut to the shortest that still does
--- /dev/null
+++ b/experiments/soak/check.go
@@ -0,0 +1,344 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// What the rules allow, with the slack of a machine that plays several programs at once.
+const (
+	slack         = 250 * time.Millisecond // of this machine: the lab's own clients and engines wait for a core, too
+	answerLate    = 500 * time.Millisecond
+	drainJudged   = 4 * time.Second
+	drainRequests = 2 * time.Second
+	drainOver     = 2 * time.Second
+	toldAfter     = 6 * time.Second
+	pinSlack      = 350 * time.Millisecond
+	deadlineSlack = 150 * time.Millisecond
+	leftSlack     = 100 * time.Millisecond
+	eventLimit    = 300 * time.Millisecond
+	lateStreams   = 20 // one stream in so many may have an event held back
+	readyLimit    = 10 * time.Second
+	hostileLimit  = 3 * time.Second
+	killGrace     = 700 * time.Millisecond
+)
+
+// Rule names a rule of the protocol.
+type Rule string
+
+// The rules that are checked.
+const (
+	Lost      Rule = "lost"
+	Duplicate Rule = "duplicate"
+	DrainEng  Rule = "drain"
+	DrainCli  Rule = "drain of clients"
+	Held      Rule = "held states"
+	Deadlines Rule = "deadlines"
+	LeftRule  Rule = "client left"
+	Events    Rule = "events in time"
+	Ready     Rule = "readiness"
+	Crash     Rule = "crash"
+	Bad       Rule = "bad clients"
+
+	Descriptors Rule = "descriptors"
+)
+
+// Breach is a rule that was broken.
+type Breach struct {
+	Rule Rule
+	At   time.Duration
+	What string
+}
+
+func (b Breach) String() string {
+	return fmt.Sprintf("%s at %.3fs: %s", b.Rule, b.At.Seconds(), b.What)
+}
+
+// Check returns the breaches in a book, the first first.
+func Check(p Plan, b *Book) []Breach {
+	c := &checker{plan: p, book: b, attempts: map[string][]*Attempt{}, requests: map[string]*Request{}}
+	for _, a := range b.Attempts {
+		c.attempts[a.ID] = append(c.attempts[a.ID], a)
+	}
+	for _, q := range b.Requests {
+		q.Sent = c.accepted(q.Gateway, q.Sent)
+		c.requests[q.ID] = q
+	}
+	c.answers()
+	c.runs()
+	c.engineDrains()
+	c.clientDrains()
+	c.states()
+	c.told()
+	c.events()
+	c.lives()
+	c.hostile()
+	for _, o := range b.Open {
+		c.broken(Descriptors, o.At, "g%d has %d descriptors open, %d before the traffic", o.Gateway, o.Last, o.First)
+	}
+	slices.SortStableFunc(c.found, func(a, b Breach) int { return int(a.At - b.At) })
+	return c.found
+}
+
+type checker struct {
+	plan     Plan
+	book     *Book
+	attempts map[string][]*Attempt
+	requests map[string]*Request
+	found    []Breach
+}
+
+func (c *checker) broken(rule Rule, at time.Duration, format string, args ...any) {
+	c.found = append(c.found, Breach{rule, at, fmt.Sprintf(format, args...)})
+}
+
+// accepted is when a process could first accept what a client sent at a time. On a socket that the
+// platform holds connections come up while no process is there, after a kill.
+func (c *checker) accepted(gateway int, sent time.Duration) time.Duration {
+	next := Never
+	for _, l := range c.book.Lives {
+		if l.Gateway != gateway || l.Ready == Never {
+			continue
+		}
+		if l.Ready <= sent && sent < l.Ended {
+			return sent
+		}
+		if l.Ready > sent {
+			next = min(next, l.Ready)
+		}
+	}
+	if next == Never {
+		return sent
+	}
+	return next
+}
+
+// killed tells whether the process that had a request was ended by SIGKILL while it was open, where
+// that frees it of the answer: a kill without warning, or one after SIGTERM for a request that had
+// come no later than the grace after it.
+func (c *checker) killed(q *Request) bool {
+	for _, l := range c.book.Lives {
+		if l.Gateway != q.Gateway || q.Sent < l.Started-slack || l.Killed == Never || l.Killed < q.Sent-slack {
+			continue
+		}
+		if q.Ended != Never && q.Ended < l.Killed-slack {
+			continue
+		}
+		if l.Terminated == Never || q.Sent <= l.Terminated+killGrace {
+			return true
+		}
+	}
+	return false
+}
+
+// cutAllowed tells whether the request's process may have cut its stream off to end in time.
+func (c *checker) cutAllowed(q *Request) bool {
+	for _, l := range c.book.Lives {
+		if l.Gateway == q.Gateway && c.plan.Resume && l.Terminated != Never && q.Ended >= l.Terminated && q.Ended <= l.Terminated+5*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// answers checks that every request that was taken has its one final answer, in time and whole.
+func (c *checker) answers() {
+	for _, q := range c.book.Requests {
+		if q.Left != Never || c.killed(q) {
+			continue
+		}
+		tries := c.attempts[q.ID]
+		due := q.Sent + q.Deadline + answerLate + slack
+		switch {
+		case q.Status == 0 && len(tries) > 0:
+			c.broken(Lost, q.Ended, "%s was forwarded and its connection ended without an answer", q.ID)
+		case q.Status == 0:
+			if q.Ended > due && q.Ended != Never || q.Ended == Never {
+				c.broken(Lost, due, "%s has no answer", q.ID)
+			}
+		case q.First > due:
+			c.broken(Lost, q.First, "%s was answered %v late", q.ID, q.First-due)
+		case q.Status == 200 && !q.Whole && !c.spoilt(tries) && !c.cutAllowed(q) && c.plan.breaks(q.Gateway) == 0:
+			c.broken(Lost, q.Ended, "%s: a stream was cut off while its engine wrote", q.ID)
+		case q.Status >= 400 && q.Status < 500 && q.Status != 429 && q.Status != 408:
+			c.broken(Lost, q.Ended, "%s got status %d", q.ID, q.Status)
+		}
+	}
+}
+
+// breaks is how often connections to engines are made to break under a gateway.
+func (p Plan) breaks(gateway int) float64 { return p.Faults[gateway].Break }
+
+// spoilt tells whether an engine hung or broke one of the attempts, or was never heard to its end.
+func (c *checker) spoilt(tries []*Attempt) bool {
+	return slices.ContainsFunc(tries, func(a *Attempt) bool { return a.Spoilt })
+}
+
+// runs checks that nothing that must not run twice does.
+func (c *checker) runs() {
+	if c.plan.Effect != SingleShot {
+		return
+	}
+	for id, tries := range c.attempts {
+		ran := 0
+		last := time.Duration(0)
+		for _, a := range tries {
+			if a.Ran {
+				ran++
+				last = max(last, a.Last)
+			}
+		}
+		if ran > 1 {
+			c.broken(Duplicate, last, "%s ran %d times", id, ran)
+		}
+	}
+}
+
+// engineDrains checks that nothing new goes to an engine that drains.
+func (c *checker) engineDrains() {
+	for _, t := range c.book.Told {
+		told := min(t.At, t.Since+toldAfter)
+		for _, a := range c.book.Attempts {
+			q := c.requests[a.ID]
+			if q == nil || q.Gateway != t.Gateway || a.Engine != t.Engine || !a.Decode {
+				continue
+			}
+			if a.First > told+drainGrace+slack && a.First < t.Until {
+				c.broken(DrainEng, a.First, "%s went to d%d %v after its drain was told", a.ID, a.Engine, a.First-told)
+			}
+		}
+	}
+}
+
+// clientDrains checks drains by call, 4 s after the call and 2 s after their end.
+func (c *checker) clientDrains() {
+	for _, d := range c.book.Drains {
+		at := d.At + drainJudged
+		if !d.DrainBroken && d.Until > at {
+			c.judgeDrain(d, at)
+		}
+		if d.ActiveAt != Never && !d.ActiveBroken && d.HealthyAgain > d.ActiveAt+drainOver+slack {
+			c.broken(DrainCli, d.ActiveAt+drainOver, "g%d is not healthy %v after the drain", d.Gateway, drainOver)
+		}
+	}
+}
+
+func (c *checker) judgeDrain(d *Drain, at time.Duration) {
+	if d.HealthyAt != Never {
+		c.broken(DrainCli, d.HealthyAt, "g%d is healthy in a drain", d.Gateway)
+	}
+	for _, conn := range c.book.Conns {
+		if conn.Gateway != d.Gateway || conn.Opened > at-slack || conn.Closed < at+slack {
+			continue
+		}
+		carries := slices.ContainsFunc(c.book.Requests, func(q *Request) bool {
+			return q.Conn == conn && q.Sent <= at && q.Ended > at
+		})
+		if !carries {
+			c.broken(DrainCli, at, "g%d holds an idle connection, open since %.3fs", d.Gateway, conn.Opened.Seconds())
+		}
+	}
+	for _, q := range c.book.Requests {
+		if q.Gateway == d.Gateway && q.Conn.Opened < at && q.Sent > d.At+drainRequests && q.Sent <= at && q.Status == 200 {
+			c.broken(DrainCli, q.Sent, "g%d took %s %v after the call", d.Gateway, q.ID, q.Sent-d.At)
+		}
+	}
+}
+
+// states checks that what is held for a request is fetched or released in time.
+func (c *checker) states() {
+	limit := c.plan.PinLimit + pinSlack + slack
+	for _, s := range c.book.States {
+		q := c.requests[s.ID]
+		if q == nil || c.processKilled(q.Gateway, s.From) {
+			continue
+		}
+		from := s.From
+		for _, a := range c.attempts[s.ID] { // in order of arrival
+			if a.Last <= from+limit {
+				from = max(from, a.Ended)
+			}
+		}
+		until := min(s.Until, c.book.end())
+		if until > from && until-from > limit {
+			c.broken(Held, from+limit, "the state of %s was held for %v with no attempt out", s.ID, until-from)
+		}
+	}
+}
+
+// end is the end of what the book tells of.
+func (b *Book) end() time.Duration {
+	end := time.Duration(0)
+	for _, l := range b.Lives {
+		if l.Ended != Never {
+			end = max(end, l.Ended)
+		}
+	}
+	return end
+}
+
+// processKilled tells whether a process that lived at a time was ended by SIGKILL.
+func (c *checker) processKilled(gateway int, at time.Duration) bool {
+	return slices.ContainsFunc(c.book.Lives, func(l *Life) bool {
+		return l.Gateway == gateway && l.Killed != Never && l.Started <= at && at <= l.Killed+slack
+	})
+}
+
+// told checks what engines are told of the time, and that none is sent to for a client that left.
+func (c *checker) told() {
+	for _, a := range c.book.Attempts {
+		q := c.requests[a.ID]
+		if q == nil {
+			continue
+		}
+		left := q.Sent + q.Deadline - a.First
+		if a.Deadline > left+deadlineSlack+slack {
+			c.broken(Deadlines, a.First, "%s: an engine is told %v, its client has %v left", a.ID, a.Deadline, left)
+		}
+		if q.Left != Never && a.First > q.Left+leftSlack+slack {
+			c.broken(LeftRule, a.First, "%s was sent %v after its client left", a.ID, a.First-q.Left)
+		}
+	}
+}
+
+// events checks that events are passed on as they come.
+func (c *checker) events() {
+	streams, late := 0, 0
+	var at time.Duration
+	for _, q := range c.book.Requests {
+		if q.Status == 200 {
+			streams++
+		}
+		if q.Late > 0 {
+			late++
+			at = q.Ended
+		}
+	}
+	if late*lateStreams > streams && late > 2 {
+		c.broken(Events, at, "%d of %d streams have events that came over %v late", late, streams, eventLimit)
+	}
+}
+
+// lives checks that processes become ready and end as they are told.
+func (c *checker) lives() {
+	for _, l := range c.book.Lives {
+		if l.Crashed != "" {
+			c.broken(Crash, l.Ended, "g%d: %s", l.Gateway, l.Crashed)
+		}
+		over := min(l.Ended, l.Terminated, l.Killed)
+		if l.Ready == Never && over > l.Started+readyLimit || l.Ready != Never && l.Ready > l.Started+readyLimit {
+			c.broken(Ready, l.Started+readyLimit, "g%d is not ready after %v", l.Gateway, readyLimit)
+		}
+	}
+}
+
+// hostile checks that clients that stop in the middle of a request are not kept.
+func (c *checker) hostile() {
+	for _, h := range c.book.Hostile {
+		h.Since = c.accepted(h.Gateway, h.Since)
+		if h.Ended > h.Since+hostileLimit+slack && c.book.end() > h.Since+hostileLimit+slack && !c.processKilled(h.Gateway, h.Since) {
+			c.broken(Bad, h.Since+hostileLimit, "g%d keeps a client that stopped in the middle of a request", h.Gateway)
+		}
+	}
+}
--- /dev/null
+++ b/experiments/soak/discovery.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// member is an engine in discovery's form.
+type member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// discoveryList is discovery's list or a change of it.
+type discoveryList struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+// discovery is the list of engines, told to each gateway at an address of its own.
+type discovery struct {
+	plan Plan
+	book *Book
+
+	mu      sync.Mutex
+	members []member
+	changed map[int]int64 // revision of the latest change, by place in members
+	rev     int64
+	wake    chan struct{} // closed at each change
+	drained int           // the decode engine that drains; -1 for none
+	since   time.Duration
+}
+
+func newDiscovery(p Plan, b *Book, f *fleet) *discovery {
+	d := &discovery{plan: p, book: b, changed: map[int]int64{}, rev: 1, wake: make(chan struct{}), drained: -1}
+	for _, e := range f.all {
+		m := member{ID: fmt.Sprint("p", e.number), HostPort: e.addr, Locality: "a", Flavor: "r", Phase: "active", Size: 1}
+		if e.decode {
+			m.ID, m.Flavor = fmt.Sprint("d", e.number), "w"
+		}
+		d.members = append(d.members, m)
+	}
+	return d
+}
+
+// list returns what changed after a revision; all of it for a negative one.
+func (d *discovery) list(after int64) (discoveryList, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := discoveryList{Revision: d.rev, Complete: after < 0, Members: []member{}}
+	for n, m := range d.members {
+		if after < 0 || d.changed[n] > after {
+			l.Members = append(l.Members, m)
+		}
+	}
+	return l, d.wake
+}
+
+// set changes the phase of a decode engine; one that is active again has been restarted.
+func (d *discovery) set(engine int, phase string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := prefillEngines + engine
+	d.members[n].Phase = phase
+	if phase == "active" {
+		d.members[n].UpSince = time.Now().UnixMilli()
+		d.drained = -1
+		d.book.locked(func() {
+			for i := range d.book.Told {
+				d.book.Told[i].Until = min(d.book.Told[i].Until, d.book.now())
+			}
+		})
+	} else {
+		d.drained, d.since = engine, d.book.now()
+		if end := d.plan.SilentAt + d.plan.Silent; d.since >= d.plan.SilentAt && d.since < end {
+			d.since = end // it can't be reached before
+		}
+	}
+	d.rev++
+	d.changed[n] = d.rev
+	close(d.wake)
+	d.wake = make(chan struct{})
+}
+
+// told records that a gateway has been told of the drain, if there is one.
+func (d *discovery) told(gateway int) {
+	d.mu.Lock()
+	engine, since := d.drained, d.since
+	d.mu.Unlock()
+	if engine < 0 || d.book.now() < since {
+		return
+	}
+	d.book.locked(func() {
+		for _, t := range d.book.Told {
+			if t.Gateway == gateway && t.Engine == engine && t.Since == since {
+				return
+			}
+		}
+		d.book.Told = append(d.book.Told, Told{Gateway: gateway, Engine: engine, At: d.book.now(), Since: since, Until: Never})
+	})
+}
+
+// silent waits while discovery is silent.
+func (d *discovery) silent(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := d.book.now()
+		if d.plan.Silent == 0 || now < d.plan.SilentAt || now >= d.plan.SilentAt+d.plan.Silent {
+			return
+		}
+		wait(ctx, nil, min(d.plan.SilentAt+d.plan.Silent-now, 50*time.Millisecond))
+	}
+}
+
+const watchBeat = 2 * time.Second
+
+// listen serves one gateway and returns the address.
+func (d *discovery) listen(ctx context.Context, gateway int) (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("discovery: %w", err)
+	}
+	srv := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		within, stop := context.WithCancel(r.Context())
+		defer stop()
+		defer context.AfterFunc(ctx, stop)()
+		d.serve(within, w, r, gateway)
+	})}
+	context.AfterFunc(ctx, func() { srv.Close() })
+	go srv.Serve(l)
+	return l.Addr().String(), nil
+}
+
+func (d *discovery) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, gateway int) {
+	d.silent(ctx)
+	if r.URL.Query().Get("watch") == "" {
+		l, _ := d.list(-1)
+		d.told(gateway)
+		_ = json.NewEncoder(w).Encode(l)
+		return
+	}
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = -1
+	}
+	out := http.NewResponseController(w)
+	for ctx.Err() == nil {
+		d.silent(ctx)
+		l, wake := d.list(after)
+		if after < 0 || len(l.Members) > 0 {
+			d.told(gateway)
+			if json.NewEncoder(w).Encode(l) != nil {
+				return
+			}
+		} else if _, err := w.Write([]byte("\n")); err != nil {
+			return
+		}
+		after = l.Revision
+		if out.Flush() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-wake:
+		case <-time.After(watchBeat):
+		}
+	}
+}
--- /dev/null
+++ b/experiments/soak/engines.go
@@ -0,0 +1,221 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// fleet is the engines of a seed. They keep the book's side of attempts and states.
+type fleet struct {
+	plan   Plan
+	book   *Book
+	mu     sync.Mutex
+	random *rand.Rand
+	states map[string][]*State // held, by request
+	all    []*engineServer
+}
+
+// engineServer is one engine.
+type engineServer struct {
+	fleet  *fleet
+	number int
+	decode bool
+	addr   string
+}
+
+const maxEngineBody = 1 << 20
+
+func startFleet(ctx context.Context, p Plan, b *Book) (*fleet, error) {
+	f := &fleet{plan: p, book: b, random: rand.New(rand.NewPCG(p.Seed, 7)), states: map[string][]*State{}}
+	for n := range prefillEngines + decodeEngines {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("engine: %w", err)
+		}
+		e := &engineServer{fleet: f, number: n, decode: n >= prefillEngines, addr: l.Addr().String()}
+		if e.decode {
+			e.number = n - prefillEngines
+		}
+		f.all = append(f.all, e)
+		context.AfterFunc(ctx, func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go e.serve(ctx, c)
+			}
+		}()
+	}
+	return f, nil
+}
+
+// draw returns a number from 0 to 1.
+func (f *fleet) draw() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64()
+}
+
+// between draws a duration.
+func (f *fleet) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(f.draw()*float64(most-least))
+}
+
+// call is one request at an engine.
+type call struct {
+	conn    net.Conn
+	request *http.Request
+	id      string
+	attempt *Attempt
+	gone    <-chan struct{} // closed once the gateway has given it up
+}
+
+func (e *engineServer) serve(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	in := bufio.NewReader(c)
+	if _, err := in.Peek(1); err != nil {
+		return
+	}
+	first := e.fleet.book.now()
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(req.Body, maxEngineBody)); err != nil {
+			return
+		}
+		last := e.fleet.book.now()
+		gone, next := make(chan struct{}), make(chan bool, 1)
+		go func() {
+			_, err := in.Peek(1)
+			if err != nil {
+				close(gone)
+			} else {
+				first = e.fleet.book.now()
+			}
+			next <- err == nil
+		}()
+		one := &call{conn: c, request: req, gone: gone, attempt: &Attempt{Engine: e.number, Decode: e.decode, First: first, Last: last, Ended: Never}}
+		if !e.answer(ctx, one) || !<-next {
+			return
+		}
+	}
+}
+
+// answer answers one request, and tells whether the connection can carry another.
+func (e *engineServer) answer(ctx context.Context, c *call) bool {
+	if c.request.Method == http.MethodDelete {
+		c.id = c.request.URL.Path[strings.LastIndexByte(c.request.URL.Path, '/')+1:]
+		e.fleet.release(c.id)
+		return reply(c.conn, "204 No Content", "", "")
+	}
+	c.id = c.request.Header.Get("X-Request-Id")
+	if ms, err := strconv.Atoi(c.request.Header.Get("X-Deadline-Ms")); err == nil {
+		c.attempt.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	book := e.fleet.book
+	c.attempt.ID = c.id
+	book.locked(func() { book.Attempts = append(book.Attempts, c.attempt) })
+	defer book.locked(func() {
+		c.attempt.Ended = book.now()
+	})
+	switch chance, p := e.fleet.draw(), e.fleet.plan; {
+	case chance < p.EngineBusy:
+		return reply(c.conn, "503 Service Unavailable", "X-Not-Run: 1\r\n", "")
+	case chance < p.EngineBusy+p.EngineHang:
+		book.locked(func() { c.attempt.Spoilt = true })
+		wait(ctx, c.gone, time.Minute)
+		return false
+	case chance < p.EngineBusy+p.EngineHang+p.EngineCut:
+		book.locked(func() { c.attempt.Spoilt = true })
+		wait(ctx, c.gone, e.fleet.between(0, 40*time.Millisecond))
+		return false
+	}
+	if e.decode {
+		return e.stream(ctx, c)
+	}
+	wait(ctx, nil, e.fleet.between(3*time.Millisecond, 50*time.Millisecond))
+	e.fleet.hold(c.id)
+	return reply(c.conn, "202 Accepted", "", `{"cached_tokens":0}`)
+}
+
+// wait waits until gone is closed or for so long, and tells whether gone was not.
+func wait(ctx context.Context, gone <-chan struct{}, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-gone:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func reply(c net.Conn, status, header, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+	return err == nil
+}
+
+// hold records the state that a read leaves.
+func (f *fleet) hold(id string) {
+	s := &State{ID: id, From: f.book.now(), Until: Never}
+	f.mu.Lock()
+	f.states[id] = append(f.states[id], s)
+	f.mu.Unlock()
+	f.book.locked(func() { f.book.States = append(f.book.States, s) })
+}
+
+// release lets go of all that is held for a request, at whatever engine.
+func (f *fleet) release(id string) bool {
+	f.mu.Lock()
+	held := f.states[id]
+	delete(f.states, id)
+	f.mu.Unlock()
+	f.book.locked(func() {
+		for _, s := range held {
+			s.Until = f.book.now()
+		}
+	})
+	return len(held) > 0
+}
+
+// stream fetches the state and writes the answer, with the time of writing in each event.
+func (e *engineServer) stream(ctx context.Context, c *call) bool {
+	if !e.fleet.release(c.id) {
+		return reply(c.conn, "410 Gone", "X-Not-Run: 1\r\n", "")
+	}
+	book := e.fleet.book
+	book.locked(func() { c.attempt.Ran = true })
+	if !wait(ctx, c.gone, e.fleet.between(5*time.Millisecond, 80*time.Millisecond)) {
+		return false
+	}
+	pause := e.fleet.between(30*time.Millisecond, 120*time.Millisecond)
+	events := 1 + int(e.fleet.between(0, 2800*time.Millisecond)/pause)
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for n := range events {
+		text := fmt.Sprintf(`data: {"choices":[{"index":0,"delta":{"content":"t:%d;"},"finish_reason":null}]}`+"\n\n", book.now())
+		if _, err := fmt.Fprintf(c.conn, "%s%x\r\n%s\r\n", head, len(text), text); err != nil {
+			return false
+		}
+		if head = ""; n+1 < events && !wait(ctx, c.gone, pause) {
+			return false
+		}
+	}
+	last := `data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}` + "\n\n" +
+		fmt.Sprintf(`data: {"choices":[],"usage":{"prompt_tokens":100,"completion_tokens":%d,"prompt_tokens_details":{"cached_tokens":0}}}`, events) + "\n\ndata: [DONE]\n\n"
+	_, err := fmt.Fprintf(c.conn, "%x\r\n%s\r\n0\r\n\r\n", len(last), last)
+	return err == nil
+}
--- /dev/null
+++ b/experiments/soak/plan.go
@@ -0,0 +1,177 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// What a plan's gateways are told of their engines.
+const (
+	prefillEngines = 2
+	decodeEngines  = 3
+	drainGrace     = 1500 * time.Millisecond
+	length         = 9 * time.Second // of a seed's traffic
+	stepsBegin     = 800 * time.Millisecond
+)
+
+// Effect is what a class says of running a request twice.
+type Effect string
+
+// The effects, as settings word them.
+const (
+	Free       Effect = "free"
+	SingleShot Effect = "single_shot"
+)
+
+// Plan is all that is drawn from one seed.
+type Plan struct {
+	Seed       uint64
+	Gateways   int
+	Shared     bool // the clients' socket is held by the platform, for upgrades
+	Resume     bool // clients ask for the rest of a stream that is cut off
+	Effect     Effect
+	Deadline   time.Duration
+	Retuned    time.Duration // the deadline after SIGHUP
+	Attempts   int
+	PinLimit   time.Duration
+	Clients    int // of each gateway
+	Crowd      int // idle connections to each gateway
+	Sockets    int
+	EngineHang float64 // the part of attempts that an engine leaves without an answer
+	EngineCut  float64 // the part whose connection it breaks
+	EngineBusy float64 // the part that it turns away
+	Silent     time.Duration
+	SilentAt   time.Duration // since when discovery is silent, for Silent
+	Faults     []Injected    // for each gateway; used with a program that can inject them
+	Steps      []Step
+}
+
+// Injected is the schedule of one gateway's faults of the system, as internal/faultinject reads it.
+type Injected struct {
+	Seed    uint64         `json:"seed"`
+	Accept  float64        `json:"accept"`
+	Connect float64        `json:"connect"`
+	Read    float64        `json:"read"`
+	Break   float64        `json:"break"`
+	Files   []InjectedSpan `json:"files,omitempty"`
+	Steps   []InjectedStep `json:"steps,omitempty"`
+}
+
+// InjectedSpan is a stretch of time, in milliseconds, in which files fail.
+type InjectedSpan struct {
+	From  int64         `json:"from"`
+	To    int64         `json:"to"`
+	Errno syscall.Errno `json:"errno"`
+}
+
+// InjectedStep is a step of the wall clock, in milliseconds.
+type InjectedStep struct {
+	At int64 `json:"at"`
+	By int64 `json:"by"`
+}
+
+// Verb is what a step does.
+type Verb string
+
+// The verbs.
+const (
+	Standby   Verb = "standby"
+	Active    Verb = "active"
+	Terminate Verb = "SIGTERM" // and a new process once that one has ended
+	Kill      Verb = "SIGKILL" // likewise
+	Reload    Verb = "SIGHUP"
+	Stop      Verb = "SIGSTOP" // for up to 0.15 s
+	Upgrade   Verb = "upgrade" // a new process on the same socket, then SIGTERM to the old one
+	DrainOne  Verb = "engine drains"
+	BackOne   Verb = "engine is back" // restarted
+)
+
+// Step is something done to a gateway, or to an engine by way of discovery.
+type Step struct {
+	At      time.Duration
+	Gateway int
+	Engine  int // a decode engine
+	Verb    Verb
+	For     time.Duration // of Stop
+}
+
+func (s Step) String() string {
+	return fmt.Sprintf("%.2fs g%d %s", s.At.Seconds(), s.Gateway, s.Verb)
+}
+
+// String says what a plan is about, in one line.
+func (p Plan) String() string {
+	steps := make([]string, 0, len(p.Steps))
+	for _, s := range p.Steps {
+		steps = append(steps, s.String())
+	}
+	return fmt.Sprintf("gateways %d shared %v resume %v %s deadline %v then %v attempts %d pin %v clients %d crowd %d; %s",
+		p.Gateways, p.Shared, p.Resume, p.Effect, p.Deadline, p.Retuned, p.Attempts, p.PinLimit, p.Clients, p.Crowd, strings.Join(steps, ", "))
+}
+
+// draw makes the plan of a seed. The same seed gives the same plan.
+func draw(seed uint64) Plan {
+	r := rand.New(rand.NewPCG(seed, 42))
+	deadlines := []time.Duration{300 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second, 3 * time.Second, 8 * time.Second}
+	p := Plan{
+		Seed: seed, Gateways: 1 + r.IntN(4), Shared: r.IntN(3) == 0, Resume: r.IntN(2) == 0, Effect: Free,
+		Deadline: deadlines[r.IntN(len(deadlines))], Retuned: deadlines[r.IntN(len(deadlines))], Attempts: 2 + r.IntN(4), // a read and an answer at least
+
+		PinLimit: time.Duration(200+r.IntN(2000)) * time.Millisecond, Clients: 6 + r.IntN(10), Sockets: 512,
+		EngineHang: 0.01 * float64(r.IntN(3)), EngineCut: 0.01 * float64(r.IntN(4)), EngineBusy: 0.02 * float64(r.IntN(4)),
+	}
+	if r.IntN(2) == 0 {
+		p.Effect = SingleShot
+	}
+	if r.IntN(4) == 0 {
+		p.Crowd, p.Sockets = 150, 160
+	}
+	if r.IntN(3) == 0 {
+		p.SilentAt, p.Silent = time.Duration(1000+r.IntN(3000))*time.Millisecond, time.Duration(500+r.IntN(4000))*time.Millisecond
+	}
+	for range p.Gateways {
+		p.Faults = append(p.Faults, drawFaults(r))
+	}
+	p.drawSteps(r)
+	return p
+}
+
+func drawFaults(r *rand.Rand) Injected {
+	f := Injected{Seed: r.Uint64(), Accept: 0.1 * float64(r.IntN(3)), Connect: 0.02 * float64(r.IntN(3)), Read: 0.1 * float64(r.IntN(3)), Break: 0.001 * float64(r.IntN(3))}
+	if r.IntN(2) == 0 {
+		from := int64(r.IntN(4000))
+		f.Files = append(f.Files, InjectedSpan{From: from, To: from + int64(r.IntN(3000)), Errno: []syscall.Errno{syscall.ENOSPC, syscall.EIO}[r.IntN(2)]})
+	}
+	for range r.IntN(3) {
+		f.Steps = append(f.Steps, InjectedStep{At: int64(r.IntN(9000)), By: int64(r.IntN(7_200_001)) - 3_600_000})
+	}
+	return f
+}
+
+func (p *Plan) drawSteps(r *rand.Rand) {
+	verbs := []Verb{Standby, Standby, Active, Terminate, Terminate, Kill, Reload, Stop, Stop}
+	if p.Shared { // there the platform ends no process before the next one can serve
+		verbs = []Verb{Standby, Standby, Active, Upgrade, Upgrade, Kill, Reload, Stop, Stop}
+	}
+	add := func(s Step) { p.Steps = append(p.Steps, s) }
+	for g := range p.Gateways {
+		for at := stepsBegin + time.Duration(r.IntN(1500))*time.Millisecond; at < length-time.Second; {
+			s := Step{At: at, Gateway: g, Verb: verbs[r.IntN(len(verbs))], For: time.Duration(20+r.IntN(131)) * time.Millisecond}
+			add(s)
+			pause := time.Duration(r.IntN(3000)) * time.Millisecond
+			if s.Verb == Standby && r.IntN(2) == 0 {
+				pause = 4500 * time.Millisecond // long enough to be judged
+			}
+			at += pause
+		}
+	}
+	engine := r.IntN(decodeEngines)
+	drained := stepsBegin + time.Duration(r.IntN(2500))*time.Millisecond
+	add(Step{At: drained, Engine: engine, Verb: DrainOne})
+	add(Step{At: drained + 4*time.Second, Engine: engine, Verb: BackOne})
+	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
+}
--- /dev/null
+++ b/experiments/soak/process.go
@@ -0,0 +1,393 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Waits of the operators' side.
+const (
+	callWait    = 2 * time.Second
+	frontEvery  = 100 * time.Millisecond
+	frontLag    = 200 * time.Millisecond // clients keep coming for so long after a no
+	upgradeWait = 10 * time.Second
+	longestKill = 3 * time.Second
+	exitWait    = 30 * time.Second // for a process that SIGKILL has ended
+)
+
+// gateway is one gateway: its processes, one after the other, and what clients know of it.
+type gateway struct {
+	number  int
+	plan    Plan
+	program string
+	dir     string
+	config  string // the file
+	where   string // discovery's address
+
+	discovery *discovery
+
+	book   *Book
+	socket *os.File // the clients', where the platform holds it; nil otherwise
+
+	mu       sync.Mutex
+	current  *process
+	addr     string
+	deadline time.Duration // of the settings in force
+	drain    *Drain        // under way, or the last one
+	admitted atomic.Bool
+}
+
+// process is one run of the program.
+type process struct {
+	cmd     *exec.Cmd
+	life    *Life
+	control string
+	serving string
+	began   chan struct{} // closed once it says where it serves and takes calls, or ends
+	ended   chan struct{}
+	broken  string // an invariant that the log says was broken
+}
+
+// settings is the platform's document.
+func (g *gateway) settings() map[string]any {
+	micros := func(d time.Duration) int64 { return d.Microseconds() }
+	return map[string]any{
+		"az": "a", "zones": []string{"a"}, "balancers": g.plan.Gateways, "me": g.number, "kinds": []string{"r", "w"}, "tick": 4000,
+		"classes":     []any{map[string]any{"name": "order", "aim": micros(g.deadline) / 2, "hard_limit": micros(g.deadline), "effect": g.plan.Effect, "gain": 1}},
+		"family_info": map[string]any{"duty_by_kind": []string{"read", "write"}, "pin_limit": micros(g.plan.PinLimit), "tokens_by_kind": []int{200000, 200000}, "resume": g.plan.Resume},
+		"limits":      map[string]any{"send_cap": g.plan.Attempts, "cancelling": true, "conn_idle": 2_000_000, "connect_timeout": 500_000},
+		"rules":       map[string]any{"answer_slack": 16000, "fall": 3000000, "fall_multiple": 4, "cold_share": 0.5, "cold": 1000000, "drain_grace": micros(drainGrace)},
+	}
+}
+
+// write writes the configuration, whole.
+func (g *gateway) write() error {
+	all, _ := g.discovery.list(-1)
+	text, err := json.Marshal(map[string]any{
+		"name": fmt.Sprint("g", g.number), "listen": "127.0.0.1:0", "discovery": g.where, "control": "127.0.0.1:0", "seed": fmt.Sprintf("%x", g.plan.Seed),
+		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": g.plan.Sockets}, "settings": g.settings(), "known": all,
+	})
+	if err != nil {
+		return err
+	}
+	next := g.config + ".new"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, g.config)
+}
+
+// start starts a process and returns once it says that it serves.
+func (g *gateway) start(ctx context.Context) (*process, error) {
+	faults, err := json.Marshal(g.plan.Faults[g.number])
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.CommandContext(ctx, g.program, "serve", "--verbose")
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+g.config, "TMPDIR="+g.dir, "WELLGW_FAULTS="+string(faults))
+	if g.socket != nil {
+		cmd.Env = append(cmd.Env, "EDGE_SOCKET_FD=3")
+		cmd.ExtraFiles = []*os.File{g.socket}
+	}
+	errs, err := cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	keep, err := os.OpenFile(filepath.Join(g.dir, "log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{cmd: cmd, life: &Life{Gateway: g.number, Started: g.book.now(), Ready: Never, Terminated: Never, Killed: Never, Ended: Never}, began: make(chan struct{}), ended: make(chan struct{})}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	g.book.locked(func() { g.book.Lives = append(g.book.Lives, p.life) })
+	go g.follow(p, errs, keep)
+	<-p.began
+	return p, nil
+}
+
+// follow reads a process's log to its end, and records how it ended.
+func (g *gateway) follow(p *process, errs io.Reader, keep io.WriteCloser) {
+	defer close(p.ended)
+	defer keep.Close()
+	began := sync.OnceFunc(func() { close(p.began) })
+	defer began()
+	scan := bufio.NewScanner(errs)
+	scan.Buffer(nil, 1<<20)
+	for scan.Scan() {
+		fmt.Fprintln(keep, scan.Text())
+		var line struct{ Message, Listen, Control string }
+		if json.Unmarshal(scan.Bytes(), &line) != nil {
+			p.broken = "it wrote " + scan.Text()
+			continue
+		}
+		switch {
+		case line.Message == "serving":
+			p.serving = line.Listen
+		case line.Message == "calls taken":
+			p.control = line.Control
+		case strings.Contains(line.Message, "invariant"):
+			p.broken = scan.Text()
+		}
+		if p.serving != "" && p.control != "" {
+			began()
+		}
+	}
+	err := p.cmd.Wait()
+	g.book.locked(func() {
+		p.life.Ended = g.book.now()
+		if exit := (*exec.ExitError)(nil); err != nil && p.life.Killed == Never && errors.As(err, &exit) {
+			p.life.Crashed = fmt.Sprintf("ended by itself: %v %s", err, p.broken)
+		} else if p.broken != "" {
+			p.life.Crashed = p.broken
+		} else if p.life.Terminated == Never && p.life.Killed == Never {
+			p.life.Crashed = "ended by itself, untold"
+		}
+	})
+}
+
+// enter makes a process the one that clients and operators know.
+func (g *gateway) enter(p *process) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.current = p
+	if g.socket == nil {
+		g.addr = p.serving
+	}
+}
+
+func (g *gateway) now() (p *process, addr string, deadline time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.current, g.addr, g.deadline
+}
+
+// call makes an operator's call.
+func operatorsCall(control, line string) bool {
+	c, err := net.DialTimeout("tcp4", control, callWait)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(callWait))
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return false
+	}
+	answer, _ := bufio.NewReader(c).ReadString('\n')
+	return strings.HasPrefix(answer, "YES")
+}
+
+// healthy asks for a gateway's health on a connection of its own.
+func healthy(ctx context.Context, addr string) bool {
+	within, stop := context.WithTimeout(ctx, time.Second)
+	defer stop()
+	req, err := http.NewRequestWithContext(within, http.MethodGet, "http://"+addr+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// front watches a gateway's health, as what deals out clients does.
+func (g *gateway) front(ctx context.Context) {
+	for ; ctx.Err() == nil; wait(ctx, nil, frontEvery) {
+		p, addr, _ := g.now()
+		ok := healthy(ctx, addr)
+		now := g.book.now()
+		g.book.locked(func() {
+			if ok && p.life.Ready == Never {
+				p.life.Ready = now
+			}
+			d := g.drain
+			if d == nil || !ok {
+				return
+			}
+			if now > d.At+drainJudged && now < d.Until && d.HealthyAt == Never {
+				d.HealthyAt = now
+			}
+			if d.ActiveAt != Never && d.HealthyAgain == Never {
+				d.HealthyAgain = now
+			}
+		})
+		if ok {
+			g.admitted.Store(true)
+		} else {
+			time.AfterFunc(frontLag, func() { g.admitted.Store(false) })
+		}
+	}
+}
+
+// interrupted notes that something is done to the process, so that a drain can't be judged by it.
+func (g *gateway) interrupted() {
+	g.book.locked(func() {
+		d := g.drain
+		if d == nil {
+			return
+		}
+		now := g.book.now()
+		if now < d.At+drainJudged+slack {
+			d.DrainBroken = true
+		}
+		if d.ActiveAt == Never || now < d.ActiveAt+drainOver+slack {
+			d.ActiveBroken = true
+		}
+	})
+}
+
+// end ends a drain's record.
+func (g *gateway) endDrain() {
+	g.book.locked(func() {
+		if g.drain != nil {
+			g.drain.Until = min(g.drain.Until, g.book.now())
+		}
+	})
+}
+
+// terminate sends SIGTERM and, at the earliest time that the page allows, SIGKILL.
+func (g *gateway) terminate(p *process) {
+	_, _, deadline := g.now()
+	g.book.locked(func() { p.life.Terminated = g.book.now() })
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+		return
+	case <-time.After(min(deadline, longestKill) + killGrace):
+	}
+	g.kill(p)
+}
+
+// kill sends SIGKILL.
+func (g *gateway) kill(p *process) {
+	select {
+	case <-p.ended:
+		return
+	default:
+	}
+	g.book.locked(func() { p.life.Killed = g.book.now() })
+	_ = p.cmd.Process.Kill()
+	select {
+	case <-p.ended:
+	case <-time.After(exitWait):
+	}
+}
+
+// next starts the process that follows one that has ended.
+func (g *gateway) next(ctx context.Context) error {
+	if err := g.write(); err != nil { // the platform gives it the list as last known
+		return err
+	}
+	p, err := g.start(ctx)
+	if err != nil {
+		return err
+	}
+	g.enter(p)
+	return nil
+}
+
+// step carries out one step.
+func (g *gateway) step(ctx context.Context, s Step) error {
+	p, _, _ := g.now()
+	if s.Verb != Active && s.Verb != Standby {
+		g.interrupted()
+	}
+	switch s.Verb {
+	case Standby:
+		g.standby(p)
+	case Active:
+		g.active(p)
+	case Stop:
+		_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+		wait(ctx, nil, s.For)
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	case Reload:
+		g.mu.Lock()
+		g.deadline = g.plan.Retuned
+		g.mu.Unlock()
+		if err := g.write(); err != nil {
+			return err
+		}
+		_ = p.cmd.Process.Signal(syscall.SIGHUP)
+	case Terminate, Kill:
+		if s.Verb == Kill {
+			g.kill(p)
+		} else {
+			g.terminate(p)
+		}
+		g.endDrain()
+		return g.next(ctx)
+	case Upgrade:
+		return g.upgrade(ctx, p)
+	}
+	return nil
+}
+
+func (g *gateway) standby(p *process) {
+	if !operatorsCall(p.control, "standby") {
+		return
+	}
+	g.book.locked(func() {
+		if g.drain != nil && g.drain.Until == Never {
+			return // it drains already
+		}
+		g.drain = &Drain{Gateway: g.number, At: g.book.now(), Until: Never, HealthyAt: Never, ActiveAt: Never, HealthyAgain: Never}
+		g.book.Drains = append(g.book.Drains, g.drain)
+	})
+}
+
+func (g *gateway) active(p *process) {
+	sent := g.book.now()
+	yes := operatorsCall(p.control, "active")
+	g.book.locked(func() {
+		if d := g.drain; yes && d != nil && d.Until == Never {
+			d.Until, d.ActiveAt = sent, g.book.now()
+		}
+	})
+}
+
+// upgrade starts a new process on the same socket, and ends the old one once the new one can serve.
+func (g *gateway) upgrade(ctx context.Context, old *process) error {
+	g.endDrain() // it was told to the old process alone
+	if err := g.write(); err != nil {
+		return err
+	}
+	p, err := g.start(ctx)
+	if err != nil {
+		return err
+	}
+	for until := g.book.now() + upgradeWait; g.book.now() < until && !operatorsCall(p.control, "status"); {
+		wait(ctx, nil, 50*time.Millisecond)
+	}
+	g.enter(p)
+	g.terminate(old)
+	return nil
+}
+
+// descriptors is how many a process has open.
+func (p *process) descriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	return len(entries)
+}
