Closes by reason in the metrics; the chat front's end has a test; typed events documented

Change: counts of the admin listener and its metrics have 'closed REASON'; a test with the program holds a stream, half a request and a next request against SIGTERM; peers pause 1 ms after a read error, so that one that stays does not take the processor.

--- a/cmd/wellgw/directory.go
+++ b/cmd/wellgw/directory.go
@@ -190,6 +190,11 @@
 		if s.counts != nil && v.Counts != nil {
 			maps.Copy(v.Counts, s.counts())
 		}
+		if clients := s.clients.Load(); clients != nil && v.Counts != nil {
+			for reason, n := range clients.Closes() {
+				v.Counts["closed "+reason] = n
+			}
+		}
 		return v
 	}
 	pages := admin.Pages{admin.EnginesPath: func() any { return view() }}
--- a/cmd/wellgw/drain_test.go
+++ b/cmd/wellgw/drain_test.go
@@ -8,10 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -312,3 +314,41 @@
 		healthy(t, "http://"+d.addr)
 	}
 }
+
+// The chat front ends by the same table: when it is told to end, a connection whose stream is under
+// way ends with it, a request that does not come to its end is refused and not waited for, and the
+// process ends by itself; nobody says when a kill comes.
+func TestChatFrontEndsConnectionsInTime(t *testing.T) {
+	engine := enginetest.NewEngine(t, func(enginetest.Call) string { return enginetest.SlowStream(2, 0, 2*time.Second) })
+	raw, err := os.ReadFile("../../deploy/operator.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer("127.0.0.1:8080", "127.0.0.1:0", "127.0.0.1:9001", engine.Addr).Replace(string(raw))
+	cmd, url := serving(t, nil, "serve", "--operator", file(t, text))
+	healthy(t, url)
+	d := &drained{t: t, cmd: cmd, addr: strings.TrimPrefix(url, "http://")}
+	const body = `{"model":"order-assistant","stream":true,"messages":[{"role":"user","content":"two bolts"}]}`
+	chat := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer change-me-counter\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	streaming, cut := d.dial(), d.dial()
+	in := bufio.NewReader(streaming)
+	io.WriteString(streaming, chat)
+	if _, err := in.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(cut, chat[:len(chat)-1])
+	cmd.Process.Signal(syscall.SIGTERM)
+	if status, _, err := answer(bufio.NewReader(cut)); status != http.StatusServiceUnavailable || err != nil {
+		t.Errorf("half a request got %d, %v", status, err)
+	}
+	if status, body, err := answer(in); status != http.StatusOK || err != nil || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+		t.Errorf("the stream under way: %d %q %v", status, body, err)
+	}
+	io.WriteString(streaming, chat)
+	if status, _, _ := answer(in); status != 0 {
+		t.Errorf("a request after the last answer got %d", status)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
--- a/cmd/wellgw/gateway.go
+++ b/cmd/wellgw/gateway.go
@@ -49,6 +49,7 @@
 	serving atomic.Value          // the address that it listens on, once it does
 	shared  atomic.Int64          // gateways that share the engines; set by directory
 	counts  func() map[string]int // of the front's own, beside the core's; nil for none
+	clients atomic.Pointer[clientconn.Listener]
 	garbage int                   // see fitLimits; 0 = usualGarbage
 	resume  bool                  // clients ask for the rest of a stream that is cut off
 	killed  bool                  // SIGKILL follows SIGTERM by the platform's clock; elsewhere nobody says when
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -81,6 +81,7 @@
 	clients := clientconn.NewListener(accepting, share)
 	accepting.MakeRoom = clients.MakeRoom
 	clients.Log(g.log)
+	g.clients.Store(clients)
 	go logCounts(ctx, c, clients, checks, g.log)
 	ending := lifecycle.Limits{Longest: g.longest, KillKnown: g.killed, Resume: g.resume, Shared: inherited != nil}
 	life := newSupervisor(ending, clients, f, c, srv, g.depart, g.log)
--- a/decide/lifecycle/process.go
+++ b/decide/lifecycle/process.go
@@ -74,18 +74,32 @@
 // Event is something that happens to a process.
 type Event interface{ isEvent() }
 
-// The events.
-type (
-	Drain        struct{}                        // operators send clients away
-	Activate     struct{}                        // operators end the drain
-	HandOver     struct{}                        // a newer process is ready
-	Terminate    struct{}                        // SIGTERM
-	ListenerLost struct{}                        // clients can't be accepted any more
-	Retuned      struct{ Longest time.Duration } // other settings are in force
-	Quieted      struct{}                        // no request has come for a while: clients have noticed
-	Idle         struct{}                        // no connection is open, nothing is in hand or owed
-	Tick         struct{}                        // the time that Next named has come
-)
+// Drain says that operators send clients away.
+type Drain struct{}
+
+// Activate says that operators end the drain.
+type Activate struct{}
+
+// HandOver says that a newer process is ready.
+type HandOver struct{}
+
+// Terminate is SIGTERM.
+type Terminate struct{}
+
+// ListenerLost says that clients can't be accepted any more.
+type ListenerLost struct{}
+
+// Retuned says that other settings are in force.
+type Retuned struct{ Longest time.Duration }
+
+// Quieted says that no request has come for a while: clients have noticed.
+type Quieted struct{}
+
+// Idle says that no connection is open, and nothing is in hand or owed.
+type Idle struct{}
+
+// Tick says that the time which Next named has come.
+type Tick struct{}
 
 func (Drain) isEvent()        {}
 func (Activate) isEvent()     {}
--- a/experiments/soak/clients.go
+++ b/experiments/soak/clients.go
@@ -134,6 +134,10 @@
 	_, err := c.in.Peek(1)
 	ended := c.book.now()
 	if isTimeout(err) {
+		if ended < since+hostileLimit+slack { // the traffic has ended: nobody looked on
+			c.close()
+			return
+		}
 		ended = Never
 	}
 	c.book.locked(func() {
--- a/internal/peers/packets.go
+++ b/internal/peers/packets.go
@@ -9,6 +9,9 @@
 	"wellgw/decide/membership"
 )
 
+// readPause keeps an error that stays from taking the processor.
+const readPause = time.Millisecond
+
 // read takes datagrams off the socket, as fast as they come: what nobody has time for is
 // dropped here and not in the system's buffer, where it would crowd out what is good.
 func (p *Peers) read(packets chan<- []byte) {
@@ -18,8 +21,9 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue // an answer to what was sent to nobody
+		if err != nil { // mostly an answer to what was sent to nobody
+			time.Sleep(readPause)
+			continue
 		}
 		p.counts.received.Add(1)
 		p.counts.receivedBytes.Add(uint64(n))
