--- a/cmd/wellgw/gateway.go
+++ b/cmd/wellgw/gateway.go
@@ -50,9 +50,9 @@
 	shared  atomic.Int64          // gateways that share the engines; set by directory
 	counts  func() map[string]int // of the front's own, beside the core's; nil for none
 	clients atomic.Pointer[clientconn.Listener]
-	garbage int                   // see fitLimits; 0 = usualGarbage
-	resume  bool                  // clients ask for the rest of a stream that is cut off
-	killed  bool                  // SIGKILL follows SIGTERM by the platform's clock; elsewhere nobody says when
+	garbage int  // see fitLimits; 0 = usualGarbage
+	resume  bool // clients ask for the rest of a stream that is cut off
+	killed  bool // SIGKILL follows SIGTERM by the platform's clock; elsewhere nobody says when
 	log     *slog.Logger
 
 	name    string                      // of the gateway, for the file of ejections; "" keeps none
--- a/experiments/soak/check.go
+++ b/experiments/soak/check.go
@@ -327,12 +327,22 @@
 			c.broken(Crash, l.Ended, "g%d: %s", l.Gateway, l.Crashed)
 		}
 		over := min(l.Ended, l.Terminated, l.Killed)
+		if c.drained(l) { // it was not to be healthy
+			continue
+		}
 		if l.Ready == Never && over > l.Started+readyLimit || l.Ready != Never && l.Ready > l.Started+readyLimit {
 			c.broken(Ready, l.Started+readyLimit, "g%d is not ready after %v", l.Gateway, readyLimit)
 		}
 	}
 }
 
+// drained tells whether a process was told to drain before it had to be ready.
+func (c *checker) drained(l *Life) bool {
+	return slices.ContainsFunc(c.book.Drains, func(d *Drain) bool {
+		return d.Gateway == l.Gateway && d.At >= l.Started && d.At < l.Started+readyLimit
+	})
+}
+
 // hostile checks that clients that stop in the middle of a request are not kept.
 func (c *checker) hostile() {
 	for _, h := range c.book.Hostile {
--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -36,7 +36,9 @@
 }
 
 // New returns a listener over l that logs the errors it passes over.
-func New(l net.Listener, log *slog.Logger) *Listener { return &Listener{Listener: faultinject.Listener(l), log: log} }
+func New(l net.Listener, log *slog.Logger) *Listener {
+	return &Listener{Listener: faultinject.Listener(l), log: log}
+}
 
 // Accept returns the next connection, or an error if there will be none any more.
 func (l *Listener) Accept() (net.Conn, error) {
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -140,13 +140,19 @@
 	})
 }
 
+// Messages of the log on attempts.
+const (
+	messageEnded  = "attempt ended"
+	messageFailed = "attempt failed"
+)
+
 // logAttempt writes how an attempt ended.
 func (c *Core) logAttempt(q *request, at *attempt, r Result, withdrawn bool) {
-	message := "attempt ended"
+	message := messageEnded
 	if r.Cause != nil {
-		message = "attempt failed"
+		message = messageFailed
 	}
-	c.log.Debug(message, "id", q.Wire, "attempt", at.number, "engine", at.engine.Name, "status", statusNames[r.Status],
+	c.log.Debug(message, "id", q.Wire, "attempt", at.number, "engine", at.engine.Name, "status", string(statusNames[r.Status]),
 		"age", time.Since(at.sent).Round(time.Millisecond), "out", at.out, "withdrawn", withdrawn, "cause", r.Cause)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,7 +51,7 @@
 	lastHeard  map[string]time.Time // when each engine has last answered
 	lingering  int                  // attempts that are over for the module and whose connections are kept; see keepLingering
 	drained    []chan struct{}
-	counts     map[string]int
+	counts     map[Counter]int
 	traffic    map[string]*Traffic // by class
 	lastBusy   time.Time           // a request came, or was seen in hand
 }
@@ -66,7 +66,7 @@
 		starts: starttime.New(starttime.Clock{Now: clockOrigin, Wall: wallclock.Now()}),
 		queue:  make(chan func(), queueSize), done: make(chan struct{}),
 		members: map[string]Member{}, ejections: ejection.New(), requests: map[routing.RequestID]*request{}, unreleased: map[*request]bool{}, lastHeard: map[string]time.Time{},
-		wires: map[string]bool{}, counts: map[string]int{}, traffic: map[string]*Traffic{},
+		wires: map[string]bool{}, counts: map[Counter]int{}, traffic: map[string]*Traffic{},
 	}
 }
 
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -2,23 +2,27 @@
 
 import "wellgw/routing"
 
-// What the core counts beside outcomes and answers; see Counts.
+// Counter names something that the core counts. Outcomes of attempts and final answers are counted
+// under their names, too.
+type Counter string
+
+// What is counted beside outcomes and answers.
 const (
-	countOpen           = "open" // requests in hand now
-	countRequests       = "requests"
-	countAttempts       = "attempts"
-	countDuplicates     = "duplicate id"
-	countGone           = "gone" // clients that left before their answer
-	countReleases       = "releases"
-	countReleasesFailed = "releases failed"
-	countEnginesChecked = "engines checked"
-	countStatesExpired  = "states expired"
+	countOpen           Counter = "open" // requests in hand now
+	countRequests       Counter = "requests"
+	countAttempts       Counter = "attempts"
+	countDuplicates     Counter = "duplicate id"
+	countGone           Counter = "gone" // clients that left before their answer
+	countReleases       Counter = "releases"
+	countReleasesFailed Counter = "releases failed"
+	countEnginesChecked Counter = "engines checked"
+	countStatesExpired  Counter = "states expired"
 )
 
-var statusNames = [...]string{
+var statusNames = [...]Counter{
 	routing.StatusServed: "served", routing.StatusRead: "read", routing.StatusError: "error",
 	routing.StatusFull: "full", routing.StatusTimeout: "timeout", routing.StatusNoConnect: "no connect",
 	routing.StatusReset: "reset", routing.StatusCancelled: "cancelled", routing.StatusUnsent: "unsent",
 }
 
-var verdictNames = [...]string{Refused: "refused", Failed: "failed", Overdue: "overdue", Duplicate: "duplicate", Serving: "serving"}
+var verdictNames = [...]Counter{Refused: "refused", Failed: "failed", Overdue: "overdue", Duplicate: "duplicate", Serving: "serving"}
--- a/internal/core/queries.go
+++ b/internal/core/queries.go
@@ -57,10 +57,10 @@
 // Counts returns how often each outcome and answer came, for the log.
 func (c *Core) Counts(ctx context.Context) map[string]int {
 	return query(ctx, c, func() map[string]int {
-		m := map[string]int{countOpen: len(c.requests)}
-		for k, v := range c.counts {
-			m[k] = v
+		counts := map[string]int{string(countOpen): len(c.requests)}
+		for counter, n := range c.counts {
+			counts[string(counter)] = n
 		}
-		return m
+		return counts
 	})
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -74,9 +74,9 @@
 	c.counts[verdictNames[a.Verdict]]++
 	c.settling = append(c.settling, q)
 	if c.loud {
-		c.log.Debug("request answered", "id", q.Wire, "class", q.Class, "verdict", verdictNames[a.Verdict], "attempts", len(q.attempts),
+		c.log.Debug("request answered", "id", q.Wire, "class", q.Class, "verdict", string(verdictNames[a.Verdict]), "attempts", len(q.attempts),
 			"age", time.Since(q.Arrived).Round(time.Millisecond), "left", time.Until(q.deadline).Round(time.Millisecond),
-			"status", statusNames[a.Status], "cause", a.Cause)
+			"status", string(statusNames[a.Status]), "cause", a.Cause)
 	}
 	if a.Verdict == Refused && !q.free { // it is said never to have run
 		c.afterEnd(q, func() { q.front.Answer(a) })
@@ -84,7 +84,7 @@
 		q.front.Answer(a)
 	}
 	if c.observer != nil {
-		c.observer.Answered(q.Request, a, verdictNames[a.Verdict])
+		c.observer.Answered(q.Request, a, string(verdictNames[a.Verdict]))
 	}
 }
 
