An answer ends its connection only where nothing has been read beyond its request

Cause: in a drain, and while a process ends, 'Connection: close' went out with the answer under way though net/http had read the next request with it: that one, read whole, was closed without an answer. Half a request read in the same way was waited for by net/http's own time, past the drain's bound. Change: fronts ask clientconn.NothingAhead before they announce the end; an answer that leaves something read has the connection judged at once. Soak clients of a sixth manner send two requests at once. TestDamageAtAnyByte: an order sent again is not run whatever byte of the keys' file is damaged or cut.

--- a/cmd/wellgw/drain_test.go
+++ b/cmd/wellgw/drain_test.go
@@ -352,3 +352,65 @@
 		t.Errorf("exit: %v", err)
 	}
 }
+
+// Of requests that were sent together, and read together, a drain leaves none without its answer,
+// whether or not the answer under way at the call had begun.
+func TestDrainAnswersPipelinedRequests(t *testing.T) {
+	for name, begins := range map[string]bool{"before the first answer": false, "during the first answer": true} {
+		t.Run(name, func(t *testing.T) {
+			begun, end := make(chan bool, 4), make(chan bool)
+			d := startDrained(t, func() string {
+				begun <- true
+				if begins {
+					return enginetest.SlowStream(2, 0, time.Second)
+				}
+				<-end
+				return enginetest.Stream(2, 0)
+			})
+			c := d.dial()
+			in := bufio.NewReader(c)
+			_, first := d.request()
+			_, second := d.request()
+			io.WriteString(c, first+second)
+			<-begun
+			if begins {
+				in.Peek(1)
+			}
+			if a := dial(t, d.control, "standby"); a != "YES" {
+				t.Fatalf("standby: %s", a)
+			}
+			close(end)
+			for n := range 2 {
+				status, body, err := answer(in)
+				if served := status == http.StatusOK && strings.HasSuffix(body, "data: [DONE]\n\n"); err != nil || !served && status != http.StatusServiceUnavailable {
+					t.Errorf("request %d: %d %q %v", n+1, status, body, err)
+				}
+			}
+			if status, _, _ := answer(in); status != 0 {
+				t.Errorf("an answer more than requests: %d", status)
+			}
+		})
+	}
+}
+
+// Half a request that was read with the one before it is refused once that one has been answered,
+// if no request is taken any more by then.
+func TestDrainRefusesHalfOfPipelinedRequest(t *testing.T) {
+	d := startDrained(t, func() string { return enginetest.SlowStream(2, 0, drainRequestLimit) })
+	c := d.dial()
+	in := bufio.NewReader(c)
+	_, first := d.request()
+	_, second := d.request()
+	io.WriteString(c, first+second[:40])
+	if _, err := in.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	if a := dial(t, d.control, "standby"); a != "YES" {
+		t.Fatalf("standby: %s", a)
+	}
+	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable, 0} {
+		if status, _, err := answer(in); status != want || err != nil {
+			t.Errorf("status %d, %v, want %d", status, err, want)
+		}
+	}
+}
--- a/experiments/soak/clients.go
+++ b/experiments/soak/clients.go
@@ -30,6 +30,7 @@
 	slow                   // sends in pieces
 	leaving                // closes its connection at times, in the middle
 	stopping               // stops in the middle of a request at times, and stays
+	ahead                  // sends two requests at once
 )
 
 // client is one client of a gateway.
@@ -45,7 +46,7 @@
 }
 
 func newClient(g *gateway, n int) *client {
-	manners := []manner{atOnce, atOnce, atOnce, atOnce, resting, resting, slow, leaving, stopping}
+	manners := []manner{atOnce, atOnce, atOnce, atOnce, resting, resting, slow, leaving, stopping, ahead}
 	return &client{
 		gateway: g, name: fmt.Sprintf("g%dc%d", g.number, n), manner: manners[n%len(manners)],
 		random: rand.New(rand.NewPCG(g.plan.Seed, uint64(1000*g.number+n))),
@@ -151,40 +152,69 @@
 	c.close()
 }
 
-// ask sends one request and reads its answer.
+// ask sends a request, or two at once, and reads the answers.
 func (c *client) ask(ctx context.Context) {
 	if c.conn == nil {
 		return
 	}
+	first, text := c.newRequest()
+	requests := []*Request{first}
+	if c.manner == ahead {
+		second, more := c.newRequest()
+		requests, text = append(requests, second), text+more
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(answerBound))
+	if !c.send(ctx, text) {
+		c.close() // it was not sent
+		return
+	}
+	sent := c.book.now()
+	c.book.locked(func() {
+		for _, q := range requests {
+			q.Sent = sent
+		}
+		c.book.Requests = append(c.book.Requests, requests...)
+	})
+	if c.manner == leaving && c.random.IntN(4) == 0 {
+		defer c.leave(first).Stop()
+	}
+	for _, q := range requests {
+		if c.conn == nil {
+			c.ended(q)
+			continue
+		}
+		c.answer(q)
+	}
+}
+
+func (c *client) newRequest() (*Request, string) {
 	_, _, deadline := c.now()
 	id, text := c.request(deadline)
-	q := &Request{ID: id, Gateway: c.number, Deadline: deadline, Left: Never, First: Never, Ended: Never, Conn: c.record}
+	return &Request{ID: id, Gateway: c.number, Deadline: deadline, Left: Never, First: Never, Ended: Never, Conn: c.record}, text
+}
+
+// send writes a request, in pieces if that is the client's manner.
+func (c *client) send(ctx context.Context, text string) bool {
 	if c.manner == slow {
 		for _, at := range []int{30, 60} {
 			if _, err := io.WriteString(c.conn, text[:at]); err != nil {
-				c.close()
-				return
+				return false
 			}
 			text = text[at:]
 			wait(ctx, nil, time.Duration(c.random.IntN(500))*time.Millisecond)
 		}
 	}
-	_ = c.conn.SetDeadline(time.Now().Add(answerBound))
-	if _, err := io.WriteString(c.conn, text); err != nil {
-		c.close() // it was not sent
-		return
-	}
-	q.Sent = c.book.now()
-	c.book.locked(func() { c.book.Requests = append(c.book.Requests, q) })
-	if c.manner == leaving && c.random.IntN(4) == 0 {
-		conn := c.conn
-		leave := time.AfterFunc(time.Duration(c.random.IntN(600))*time.Millisecond, func() {
-			c.book.locked(func() { q.Left = c.book.now() })
-			conn.Close()
-		})
-		defer leave.Stop()
-	}
-	c.answer(q)
+	_, err := io.WriteString(c.conn, text)
+	return err == nil
+}
+
+// leave closes the connection a moment later, whatever has come by then.
+func (c *client) leave(q *Request) *time.Timer {
+	conn := c.conn
+	return time.AfterFunc(time.Duration(c.random.IntN(600))*time.Millisecond, func() {
+		c.book.locked(func() { q.Left = c.book.now() })
+		conn.Close()
+	})
 }
 
 // answer reads the answer to a request and records it.
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -80,6 +80,20 @@
 	return c
 }
 
+// answeredOne notes that a request has had its answer, and tells whether that was the connection's
+// last: it is not reusable, and nothing has been read beyond.
+func (c *Conn) answeredOne(reusable bool) (over bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered++
+	c.since = time.Now()
+	if over = !reusable && c.frame.between() && c.frame.complete <= c.answered; over {
+		c.shut = true
+		c.because(ClosedAnswered)
+	}
+	return over
+}
+
 // waits tells how long the connection has been without a request in hand, and
 // whether it has none.
 func (c *Conn) waits(now time.Time) (wait, bool) {
--- a/internal/clientconn/left.go
+++ b/internal/clientconn/left.go
@@ -36,6 +36,18 @@
 	return ok && c.hungUp()
 }
 
+// NothingAhead tells whether the request in hand, whole, is all that has been read. Only then may its
+// answer say that the connection ends with it: net/http would close over what it has read.
+func NothingAhead(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.frame.complete <= c.answered+1 && c.frame.between()
+}
+
 // watch has the client looked at where it has sent more than the request in hand. The lock
 // is held.
 func (c *Conn) watch() {
--- a/internal/clientconn/listener.go
+++ b/internal/clientconn/listener.go
@@ -107,18 +107,16 @@
 
 // State is net/http's ConnState: it tells when a request has had its answer.
 func (l *Listener) State(nc net.Conn, s http.ConnState) {
-	if c, ok := nc.(*Conn); ok && s == http.StateIdle {
-		c.mu.Lock()
-		c.answered++
-		c.since = time.Now()
-		over := !l.service.Load().Reusable && c.frame.between() && c.frame.complete <= c.answered
-		if c.shut = c.shut || over; over {
-			c.because(ClosedAnswered)
-		}
-		c.mu.Unlock()
-		if over { // what has come meanwhile is not read: its client sends it elsewhere
-			_ = c.Close()
-		}
+	c, ok := nc.(*Conn)
+	if !ok || s != http.StateIdle {
+		return
+	}
+	reusable := l.service.Load().Reusable
+	switch over := c.answeredOne(reusable); {
+	case over: // what has come meanwhile is not read: its client sends it elsewhere
+		_ = c.Close()
+	case !reusable: // half a request has been read with the one before it
+		l.scheduleSweep(time.Now())
 	}
 }
 
--- a/internal/idempotency/keeper_test.go
+++ b/internal/idempotency/keeper_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -199,3 +200,43 @@
 	defer next.Close()
 	begin(t, next, "before", deduplication.Lost)
 }
+
+// Whatever byte of the file is damaged, the process starts or names the file, and an order that is
+// known to be sent again under a key of the file is not run.
+func TestDamageAtAnyByte(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "keys")
+	k := open(t, path)
+	begin(t, k, "one", deduplication.Run)
+	k.End(ask("one").Key, "idone", deduplication.Whole, "text/plain", []byte("an answer"))
+	if err := k.Close(); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := 0; at < len(whole); at += 61 {
+		for _, spoil := range []func([]byte) []byte{
+			func(b []byte) []byte { b[at] ^= 0xff; return b },
+			func(b []byte) []byte { return b[:at] },
+		} {
+			spoilt := filepath.Join(t.TempDir(), "keys")
+			if err := os.WriteFile(spoilt, spoil(append([]byte(nil), whole...)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			k, err := Open(spoilt, deduplication.DefaultLimits(), slog.New(slog.DiscardHandler))
+			if err != nil {
+				if !strings.Contains(err.Error(), "idempotency file") {
+					t.Errorf("byte %d: %v", at, err)
+				}
+				continue
+			}
+			retry := ask("one")
+			retry.Retry = 1
+			if v, _ := k.Begin(retry); v == deduplication.Run {
+				t.Errorf("byte %d: an order sent again is run", at)
+			}
+			_ = k.Close()
+		}
+	}
+}
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -106,7 +106,7 @@
 
 // ServeHTTP serves the chat API, the list of models and the health check.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.announceClose(w)
+	f.announceClose(w, r)
 	if r.URL.Path == "/healthz" {
 		if !f.core.Ready() || !f.service.Load().Healthy {
 			http.Error(w, "no engine to send to", http.StatusServiceUnavailable)
@@ -145,8 +145,8 @@
 }
 
 // announceClose tells the caller that its connection ends with this answer, if that is so.
-func (f *Front) announceClose(w http.ResponseWriter) {
-	if !f.service.Load().Reusable {
+func (f *Front) announceClose(w http.ResponseWriter, r *http.Request) {
+	if !f.service.Load().Reusable && clientconn.NothingAhead(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -228,7 +228,7 @@
 			free()
 		}
 		clientconn.Reject(w, r)
-		f.announceClose(w)
+		f.announceClose(w, r)
 		f.spareKey(r, team)
 		refusal(core.Answer{Verdict: core.Refused, RetryAfter: busyPause}, false).send(w)
 	case errors.Is(err, clientconn.ErrBusy):
@@ -281,7 +281,7 @@
 // carry submits the request and gives its client the answer.
 func (c *call) carry() {
 	answer, ticket, here := c.submit(c.ask, c.head.id)
-	c.announceClose(c.w) // the request may have waited since before the gateway began to leave
+	c.announceClose(c.w, c.r) // the request may have waited since before the gateway began to leave
 	if !here {
 		c.ending.MayRun = !c.once || ticket.MayRun(context.WithoutCancel(c.r.Context()))
 		panic(http.ErrAbortHandler) // the caller has gone: there is nobody to answer
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -64,7 +64,7 @@
 
 // ServeHTTP takes chat requests and answers health checks.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.announceClose(w)
+	f.announceClose(w, r)
 	switch r.URL.Path {
 	case "/healthz":
 		if !f.core.Ready() || !f.service.Load().Healthy {
@@ -81,8 +81,8 @@
 }
 
 // announceClose tells the client that its connection ends with this answer, if that is so.
-func (f *Front) announceClose(w http.ResponseWriter) {
-	if !f.service.Load().Reusable {
+func (f *Front) announceClose(w http.ResponseWriter, r *http.Request) {
+	if !f.service.Load().Reusable && clientconn.NothingAhead(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -123,7 +123,7 @@
 	}
 	defer free()
 	if !f.service.Load().TakesRequest(time.Now()) {
-		f.announceClose(w)
+		f.announceClose(w, r)
 		refuse(w, core.Answer{Verdict: core.Refused})
 		return
 	}
@@ -132,7 +132,7 @@
 	if !here {
 		panic(http.ErrAbortHandler) // the client has gone: there is nobody to answer
 	}
-	f.announceClose(w) // the request may have waited since before the gateway began to leave
+	f.announceClose(w, r) // the request may have waited since before the gateway began to leave
 	if answer.Verdict == core.Serving {
 		f.stream(r.Context(), w, answer.Stream, ticket)
 		return
