--- a/cmd/wellgw/directory.go
+++ b/cmd/wellgw/directory.go
@@ -130,7 +130,7 @@
 		}
 		s.core.Observe(s.tracer)
 	}
-	if s.admin, err = net.Listen("tcp", a.Listen); err != nil {
+	if s.admin, err = accept.Listen(context.Background(), "tcp", a.Listen, s.log); err != nil {
 		return fmt.Errorf("admin.listen: %w", err)
 	}
 	s.log.Info("admin", "listen", s.admin.Addr().String())
--- a/cmd/wellgw/operate.go
+++ b/cmd/wellgw/operate.go
@@ -102,7 +102,7 @@
 // is opened again: without it nobody could tell the process to drain.
 func (g *gateway) takeCalls(ctx context.Context, desk *operate.Desk) {
 	for wait := firstCallPause; ctx.Err() == nil; wait = min(2*wait, lastCallPause) {
-		l, err := net.Listen("tcp4", g.control)
+		l, err := accept.Listen(ctx, "tcp4", g.control, g.log)
 		if err == nil {
 			g.log.Info("calls taken", "control", l.Addr().String())
 			wait = firstCallPause
--- a/cmd/wellgw/serve.go
+++ b/cmd/wellgw/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -71,7 +70,7 @@
 	}
 	l := inherited
 	if l == nil {
-		if l, err = net.Listen("tcp4", g.listen); err != nil {
+		if l, err = accept.Listen(ctx, "tcp4", g.listen, g.log); err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
 	}
