soak: maint-on and maint-off, engines that close idle connections, stalled readers

Change: the plans draw maint-on and maint-off (held to over restarts, upgrades and kills), engines that close connections at rest after 50 to 550 ms, watches reset in the midst, and clients that read nothing for a while; the checker has a rule for ejections.

--- a/experiments/soak/book.go
+++ b/experiments/soak/book.go
@@ -18,6 +18,7 @@
 	Drains   []*Drain
 	Hostile  []Hostile
 	Open     []Open
+	Ejected  []*Ejection
 }
 
 func newBook() *Book { return &Book{begun: time.Now()} }
@@ -124,3 +125,10 @@
 	At          time.Duration
 	First, Last int
 }
+
+// Ejection is an engine that operators took out at one gateway.
+type Ejection struct {
+	Gateway, Engine int
+	At              time.Duration // from when on nothing new may go there, but for the grace
+	Until           time.Duration // the call back or, where the call out was told no, the end of the process; Never
+}
--- a/experiments/soak/check.go
+++ b/experiments/soak/check.go
@@ -68,6 +68,7 @@
 	c.answers()
 	c.runs()
 	c.engineDrains()
+	c.ejections()
 	c.clientDrains()
 	c.states()
 	c.told()
@@ -211,6 +212,22 @@
 	}
 }
 
+// ejections checks that nothing new goes to an engine that operators took out, also by the processes
+// that follow the one that was called.
+func (c *checker) ejections() {
+	for _, e := range c.book.Ejected {
+		for _, a := range c.book.Attempts {
+			q := c.requests[a.ID]
+			if q == nil || q.Gateway != e.Gateway || a.Engine != e.Engine || !a.Decode {
+				continue
+			}
+			if a.First > e.At+drainGrace+slack && a.First < e.Until {
+				c.broken(DrainEng, a.First, "%s went to d%d %v after it was taken out", a.ID, a.Engine, a.First-e.At)
+			}
+		}
+	}
+}
+
 // clientDrains checks drains by call, 4 s after the call and 2 s after their end.
 func (c *checker) clientDrains() {
 	for _, d := range c.book.Drains {
--- a/experiments/soak/check_test.go
+++ b/experiments/soak/check_test.go
@@ -68,6 +68,14 @@
 			b.Attempts[1].First = toldAfter + drainGrace + s
 			b.Requests[0].Sent, b.Requests[0].First = 8*s, 8*s
 		}, DrainEng},
+		"sent to an engine that was taken out": {func(_ *Plan, b *Book) {
+			b.Ejected = []*Ejection{{At: 0, Until: Never}}
+			b.Attempts[1].First, b.Attempts[1].Deadline = drainGrace+s, 0
+		}, DrainEng},
+		"sent to an engine that is back": {func(_ *Plan, b *Book) {
+			b.Ejected = []*Ejection{{At: 0, Until: s}}
+			b.Attempts[1].First, b.Attempts[1].Deadline = drainGrace+s, 0
+		}, ""},
 		"idle connection in a drain": {func(_ *Plan, b *Book) { b.Drains, b.Conns[0].Closed = []*Drain{judged()}, 12*s }, DrainCli},
 		"healthy in a drain":         {func(_ *Plan, b *Book) { d := judged(); d.HealthyAt = 9 * s; b.Drains = []*Drain{d} }, DrainCli},
 		"request taken late in a drain": {func(_ *Plan, b *Book) {
--- a/experiments/soak/clients.go
+++ b/experiments/soak/clients.go
@@ -31,6 +31,7 @@
 	leaving                // closes its connection at times, in the middle
 	stopping               // stops in the middle of a request at times, and stays
 	ahead                  // sends two requests at once
+	stalling               // reads nothing of an answer for a while
 )
 
 // client is one client of a gateway.
@@ -46,7 +47,7 @@
 }
 
 func newClient(g *gateway, n int) *client {
-	manners := []manner{atOnce, atOnce, atOnce, atOnce, resting, resting, slow, leaving, stopping, ahead}
+	manners := []manner{atOnce, atOnce, atOnce, atOnce, resting, resting, slow, leaving, stopping, ahead, stalling}
 	return &client{
 		gateway: g, name: fmt.Sprintf("g%dc%d", g.number, n), manner: manners[n%len(manners)],
 		random: rand.New(rand.NewPCG(g.plan.Seed, uint64(1000*g.number+n))),
@@ -228,6 +229,9 @@
 		return
 	}
 	c.book.locked(func() { q.First = c.book.now() })
+	if c.manner == stalling {
+		time.Sleep(time.Duration(c.random.IntN(400)) * time.Millisecond)
+	}
 	resp, err := http.ReadResponse(c.in, nil)
 	if err != nil {
 		c.ended(q)
@@ -235,6 +239,9 @@
 		return
 	}
 	late, whole := c.events(resp.Body)
+	if c.manner == stalling { // it is to blame for what came late
+		late = 0
+	}
 	c.book.locked(func() {
 		q.Status, q.Late, q.Whole = resp.StatusCode, late, whole
 	})
--- a/experiments/soak/discovery.go
+++ b/experiments/soak/discovery.go
@@ -155,6 +155,10 @@
 		after = -1
 	}
 	out := http.NewResponseController(w)
+	var reset <-chan time.Time
+	if at := d.plan.WatchReset - d.book.now(); d.plan.WatchReset > 0 && at > 0 {
+		reset = time.After(at)
+	}
 	for ctx.Err() == nil {
 		d.silent(ctx)
 		l, wake := d.list(after)
@@ -172,6 +176,8 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-reset:
+			panic(http.ErrAbortHandler)
 		case <-wake:
 		case <-time.After(watchBeat):
 		}
--- a/experiments/soak/plan.go
+++ b/experiments/soak/plan.go
@@ -41,9 +41,11 @@
 	Clients    int // of each gateway
 	Crowd      int // idle connections to each gateway
 	Sockets    int
-	EngineHang float64 // the part of attempts that an engine leaves without an answer
-	EngineCut  float64 // the part whose connection it breaks
-	EngineBusy float64 // the part that it turns away
+	EngineHang float64       // the part of attempts that an engine leaves without an answer
+	EngineCut  float64       // the part whose connection it breaks
+	EngineBusy float64       // the part that it turns away
+	EngineIdle time.Duration // engines close connections that rest for so long; 0 for never
+	WatchReset time.Duration // all open watches are reset then; 0 for never
 	Silent     time.Duration
 	SilentAt   time.Duration // since when discovery is silent, for Silent
 	Faults     []Injected    // for each gateway; used with a program that can inject them
@@ -86,6 +88,8 @@
 	Reload    Verb = "SIGHUP"
 	Stop      Verb = "SIGSTOP" // for up to 0.15 s
 	Upgrade   Verb = "upgrade" // a new process on the same socket, then SIGTERM to the old one
+	EjectOne  Verb = "maint-on"
+	ReturnOne Verb = "maint-off"
 	DrainOne  Verb = "engine drains"
 	BackOne   Verb = "engine is back" // restarted
 )
@@ -133,6 +137,12 @@
 	if r.IntN(3) == 0 {
 		p.SilentAt, p.Silent = time.Duration(1000+r.IntN(3000))*time.Millisecond, time.Duration(500+r.IntN(4000))*time.Millisecond
 	}
+	if r.IntN(2) == 0 {
+		p.EngineIdle = time.Duration(50+r.IntN(500)) * time.Millisecond
+	}
+	if r.IntN(3) == 0 {
+		p.WatchReset = time.Duration(1000+r.IntN(5000)) * time.Millisecond
+	}
 	for range p.Gateways {
 		p.Faults = append(p.Faults, drawFaults(r))
 	}
@@ -170,6 +180,11 @@
 		}
 	}
 	engine := r.IntN(decodeEngines)
+	if ejected := (engine + 1) % decodeEngines; r.IntN(2) == 0 {
+		g, at := r.IntN(p.Gateways), stepsBegin+time.Duration(r.IntN(2000))*time.Millisecond
+		add(Step{At: at, Gateway: g, Engine: ejected, Verb: EjectOne})
+		add(Step{At: at + 4*time.Second, Gateway: g, Engine: ejected, Verb: ReturnOne})
+	}
 	drained := stepsBegin + time.Duration(r.IntN(2500))*time.Millisecond
 	add(Step{At: drained, Engine: engine, Verb: DrainOne})
 	add(Step{At: drained + 4*time.Second, Engine: engine, Verb: BackOne})
--- a/experiments/soak/soak.go
+++ b/experiments/soak/soak.go
@@ -322,4 +322,7 @@
 		group.Go(func() { g.terminate(p) })
 	}
 	group.Wait()
+	for _, g := range w.gateways {
+		g.endUnkept()
+	}
 }
