wellgwlab run drains: ten drains under 60 clients, with no fault

Change: the soak's lab plays one plan of a drain alone; the test of signals and calls in series holds a stream in hand, so that the process does not end before its calls are over on a slow machine (it ended 0.5 s after SIGTERM).

--- a/cmd/wellgw/faults_test.go
+++ b/cmd/wellgw/faults_test.go
@@ -265,7 +265,14 @@
 		{"standby again and again", []string{"standby", "standby", "active", "active", "standby", "SIGTERM", "SIGTERM"}, []string{"YES", "YES", "YES", "YES", "YES", "", ""}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			d := startDrained(t, func() string { return enginetest.Stream(2, 0) })
+			d := startDrained(t, func() string { return enginetest.SlowStream(2, 0, 4*time.Second) })
+			held := d.dial() // the process does not end before the calls are over
+			in := bufio.NewReader(held)
+			_, text := d.request()
+			io.WriteString(held, text)
+			if _, err := in.Peek(1); err != nil {
+				t.Fatal(err)
+			}
 			for n, call := range c.calls {
 				if call == "SIGTERM" {
 					d.cmd.Process.Signal(syscall.SIGTERM)
@@ -275,10 +282,13 @@
 				if a := dial(t, d.control, call); a != c.want[n] {
 					t.Errorf("%s: %s, want %s", call, a, c.want[n])
 				}
-				if code := health("http://" + d.addr); call == "standby" && code == http.StatusOK {
+				if call == "standby" && health("http://"+d.addr) == http.StatusOK {
 					t.Error("healthy in a drain")
 				}
 			}
+			if status, _, err := answer(in); status != http.StatusOK || err != nil {
+				t.Errorf("the stream under way: %d %v", status, err)
+			}
 			if err := d.cmd.Wait(); err != nil {
 				t.Errorf("exit: %v", err)
 			}
--- a/cmd/wellgwlab/main.go
+++ b/cmd/wellgwlab/main.go
@@ -25,7 +25,7 @@
 
 // all returns the experiments that can be run.
 func all() []experiments.Experiment {
-	return []experiments.Experiment{consulrun.Experiment(), rolesrun.Experiment(), chatrun.Experiment(), fleetsim.Experiment(), fleetrun.Experiment(), membersrun.Experiment(), soak.Experiment()}
+	return []experiments.Experiment{consulrun.Experiment(), rolesrun.Experiment(), chatrun.Experiment(), fleetsim.Experiment(), fleetrun.Experiment(), membersrun.Experiment(), soak.Experiment(), soak.Drains()}
 }
 
 func main() {
--- a/experiments/soak/plan.go
+++ b/experiments/soak/plan.go
@@ -150,6 +150,14 @@
 	return p
 }
 
+// drainPlan is one drain and nothing else.
+func drainPlan(seed uint64) Plan {
+	return Plan{
+		Seed: seed, Gateways: 1, Effect: SingleShot, Deadline: 8 * time.Second, Retuned: 8 * time.Second, Attempts: 4, PinLimit: 2 * time.Second,
+		Clients: 60, Sockets: 512, Faults: make([]Injected, 1), Steps: []Step{{At: 3 * time.Second, Verb: Standby}},
+	}
+}
+
 func drawFaults(r *rand.Rand) Injected {
 	f := Injected{Seed: r.Uint64(), Accept: 0.1 * float64(r.IntN(3)), Connect: 0.02 * float64(r.IntN(3)), Read: 0.1 * float64(r.IntN(3)), Break: 0.001 * float64(r.IntN(3))}
 	if r.IntN(2) == 0 {
--- a/experiments/soak/soak.go
+++ b/experiments/soak/soak.go
@@ -21,6 +21,7 @@
 // Sizes of a run.
 const (
 	usualSeeds    = 50
+	usualDrains   = 10
 	quickSeeds    = 6
 	atOnceSeeds   = 3
 	restAfter     = 1500 * time.Millisecond // after the traffic, until all is to be back where it was
@@ -33,7 +34,20 @@
 	return experiments.Experiment{
 		Name:  "soak",
 		About: "Drawn plans of faults, signals and calls, played with real processes and judged from outside.",
-		Run:   run,
+		Run: func(ctx context.Context, opt experiments.Options) (*experiments.Report, error) {
+			return run(ctx, opt, usualSeeds, atOnceSeeds, draw)
+		},
+	}
+}
+
+// Drains returns an experiment of drains alone, with no fault: one gateway and 60 clients each.
+func Drains() experiments.Experiment {
+	return experiments.Experiment{
+		Name:  "drains",
+		About: "Gateways that are told to drain under clients that go on at once, rest or send slowly; no faults.",
+		Run: func(ctx context.Context, opt experiments.Options) (*experiments.Report, error) {
+			return run(ctx, opt, usualDrains, 1, drainPlan)
+		},
 	}
 }
 
@@ -45,23 +59,24 @@
 	err      error
 }
 
-func run(ctx context.Context, opt experiments.Options) (*experiments.Report, error) {
+// run plays seeds, so many at once, by the plans that drawn gives.
+func run(ctx context.Context, opt experiments.Options, usual, atOnce int, drawn func(seed uint64) Plan) (*experiments.Report, error) {
 	seeds := opt.Seeds
 	if seeds == 0 {
-		seeds = usualSeeds
+		seeds = usual
 	}
 	if opt.Quick {
 		seeds = quickSeeds
 	}
 	results := make([]result, seeds)
-	turns := make(chan struct{}, atOnceSeeds)
+	turns := make(chan struct{}, atOnce)
 	var group sync.WaitGroup
 	begun := time.Now()
 	for n := range results {
 		turns <- struct{}{}
 		group.Go(func() {
 			defer func() { <-turns }()
-			results[n] = playSeed(ctx, opt, opt.Seed+uint64(n))
+			results[n] = playSeed(ctx, opt, drawn(opt.Seed+uint64(n)))
 			report(opt, begun, results[n])
 		})
 	}
@@ -157,11 +172,11 @@
 }
 
 // playSeed plays one seed and judges it.
-func playSeed(ctx context.Context, opt experiments.Options, seed uint64) result {
-	r := result{plan: draw(seed), book: newBook()}
+func playSeed(ctx context.Context, opt experiments.Options, p Plan) result {
+	r := result{plan: p, book: newBook()}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	dir := filepath.Join(opt.Work, fmt.Sprint("seed-", seed))
+	dir := filepath.Join(opt.Work, fmt.Sprint("seed-", p.Seed))
 	w, err := newWorld(ctx, opt.Program, dir, r.plan, r.book)
 	if err != nil {
 		r.err = err
