Logs: what each held state is covered by, and connections to engines by number

Change: connections to engines have numbers, attempts log the one that they were written to, states log when they are held, what ended them and, at their limit, each attempt in flight with what came on its own connection; closes of these connections have reasons. Decisions are unchanged.

--- a/cmd/wellgw/server.go
+++ b/cmd/wellgw/server.go
@@ -91,7 +91,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	limits, options := s.coreLimits, s.pool
-	options.MaxConns = connections
+	options.MaxConns, options.Log = connections, s.log
 	limits.HeldStateLimit, limits.MaxAttempts, limits.ReachTimeout = s.settings.HeldStateLimit, s.settings.MaxAttempts, options.ConnectTimeout
 	pool := upstream.NewPool(options)
 	directory := &lateDirectory{}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -16,7 +16,7 @@
 	ended         bool
 	answerStarted bool
 	written       bool // its last byte has been written
-	writtenAt     time.Time
+	write         WriteRecord
 	handle        Handle
 }
 
@@ -68,7 +68,7 @@
 	a := Attempt{
 		ClientRequestID: request.ClientRequestID, Number: attempt.number, Endpoint: attempt.endpoint,
 		Timeout: timeout, Payload: request.Payload, ClientGone: request.clientGone.Load,
-		Written: func() { c.post(attemptWritten{request, attempt}) },
+		Written: func(w WriteRecord) { c.post(attemptWritten{request, attempt, w}) },
 	}
 	if request.lingeringAttempt != nil || request.cancelPause(attempt.startedAt) > 0 {
 		a.Connected = func() { c.awaitPredecessorClosed(request, attempt) }
@@ -99,11 +99,12 @@
 }
 
 // recordWritten records that an attempt has been written, so that it is in flight.
-func (c *Core) recordWritten(request *requestState, attempt *attemptState) {
+func (c *Core) recordWritten(request *requestState, attempt *attemptState, write WriteRecord) {
 	if attempt.ended {
 		return
 	}
-	attempt.written, attempt.writtenAt = true, time.Now()
+	attempt.written, attempt.write = true, write
+	c.logWritten(request, attempt)
 	c.markChanged(request)
 }
 
@@ -117,6 +118,9 @@
 	}
 	request.streaming, request.stream, attempt.answerStarted = attempt, stream, true
 	c.endpoints.recordHeard(attempt.endpoint.Name)
+	if holder := request.held.ledger.StateHolder(); holder != "" {
+		c.logStateEnd(request, holder, stateFetched)
+	}
 	request.held.ledger.AnswerStarted()
 	for _, other := range request.attempts {
 		if other != attempt {
@@ -187,6 +191,7 @@
 		slog.String("status", string(statusNames[r.Status])),
 		slog.Duration("age", time.Since(attempt.startedAt).Round(time.Millisecond)),
 		slog.Bool("written", attempt.written),
+		slog.Uint64("connection", uint64(attempt.write.Connection)),
 		slog.Bool("withdrawn", withdrawn),
 		slog.Any("cause", r.Cause))
 }
@@ -260,6 +265,8 @@
 // noHandle is the handle of an attempt that was never started.
 type noHandle struct{}
 
+func (noHandle) FirstByte() (FirstByte, bool) { return FirstByte{}, false }
+
 func (noHandle) Cancel() {}
 
 func (noHandle) Withdraw() bool { return true }
--- a/internal/core/fake_test.go
+++ b/internal/core/fake_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"wellgw/decide/heldstate"
 	"wellgw/internal/enginetest"
 	"wellgw/routing"
 )
@@ -17,6 +18,7 @@
 	mu            sync.Mutex
 	script        func(a Attempt) (Stream, *Result) // neither: silence
 	attempts      []string                          // engines
+	connections   atomic.Uint64                     // opened, one for each attempt
 	closed        int
 	lastClose     time.Time // when an attempt was closed last
 	released      []string
@@ -46,8 +48,16 @@
 
 // fakeHandle is an attempt of a fake.
 type fakeHandle struct {
-	cancel  func()
-	written *atomic.Bool
+	cancel    func()
+	written   *atomic.Bool
+	firstByte *atomic.Pointer[FirstByte]
+}
+
+func (h fakeHandle) FirstByte() (FirstByte, bool) {
+	if first := h.firstByte.Load(); first != nil {
+		return *first, true
+	}
+	return FirstByte{}, false
 }
 
 func (h fakeHandle) Cancel() { h.cancel() }
@@ -64,7 +74,8 @@
 	f.mu.Lock()
 	f.attempts = append(f.attempts, a.Endpoint.Name)
 	f.mu.Unlock()
-	h := fakeHandle{written: &atomic.Bool{}}
+	h := fakeHandle{written: &atomic.Bool{}, firstByte: &atomic.Pointer[FirstByte]{}}
+	connection := heldstate.Connection(f.connections.Add(1))
 	h.cancel = sync.OnceFunc(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -83,11 +94,18 @@
 			if f.writtenLate != nil && a.Number == 0 {
 				<-f.writtenLate
 			}
-			a.Written()
+			a.Written(WriteRecord{Connection: connection, At: time.Now()})
+		}
+		s, r := f.script(a)
+		if s == nil && r == nil {
+			return
+		}
+		if s != nil || r.Status != routing.StatusReset && r.Status != routing.StatusConnectFailed {
+			h.firstByte.Store(&FirstByte{Connection: connection, At: time.Now()})
 		}
-		if s, r := f.script(a); s != nil {
+		if s != nil {
 			first(s)
-		} else if r != nil {
+		} else {
 			ended(*r)
 		}
 	}()
--- a/internal/core/held.go
+++ b/internal/core/held.go
@@ -44,6 +44,7 @@
 	switch r.Status {
 	case routing.StatusPrefilled:
 		ledger.PrefillCompleted(engine, c.clock.now())
+		c.logHeld(request, attempt)
 	case routing.StatusTimeout, routing.StatusCancelled, routing.StatusReset:
 		ledger.AttemptLost(engine, c.router.CanPrefill(attempt.endpoint.Kind))
 	case routing.StatusError:
@@ -56,7 +57,7 @@
 	case routing.StatusPrefilled, routing.StatusRejected, routing.StatusError, routing.StatusServed:
 		c.endpoints.recordHeard(engine)
 	}
-	if attempt.written && c.endpoints.heardSince(engine, attempt.writtenAt) {
+	if attempt.written && c.endpoints.heardSince(engine, attempt.write.At) {
 		ledger.AttemptConfirmedUntil(c.clock.now())
 	}
 }
@@ -107,7 +108,7 @@
 	for _, attempt := range request.attempts {
 		switch {
 		case !request.inFlight(attempt):
-		case attempt.answerStarted || c.endpoints.heardSince(attempt.endpoint.Name, attempt.writtenAt):
+		case attempt.answerStarted || c.endpoints.heardSince(attempt.endpoint.Name, attempt.write.At):
 			return heldstate.Confirmed
 		default:
 			state = heldstate.Unconfirmed
@@ -146,6 +147,7 @@
 // does not come up must not keep it. The router has the prompt prefilled again if there is time.
 func (c *Core) expireState(request *requestState) {
 	c.counters.increment(countStatesExpired)
+	c.logExpired(request)
 	request.held.ledger.Expire(c.clock.now())
 	for _, attempt := range request.attempts {
 		if !attempt.ended && !attempt.written && attempt.handle.Withdraw() {
--- /dev/null
+++ b/internal/core/heldlog.go
@@ -0,0 +1,88 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"time"
+)
+
+// stateEnd is what ended the time of a state that engines hold for a request.
+type stateEnd string
+
+// The ends, as they are logged.
+const (
+	stateFetched  stateEnd = "fetched"  // a decode engine's answer has begun
+	stateReleased stateEnd = "released" // a release was delivered
+	stateExpired  stateEnd = "expired"  // it has reached its limit: given up, or released under an attempt
+)
+
+// logWritten logs which connection an attempt was written to.
+func (c *Core) logWritten(request *requestState, attempt *attemptState) {
+	if !c.debugLogging {
+		return
+	}
+	c.log.LogAttrs(context.Background(), slog.LevelDebug, "attempt written",
+		slog.String("id", request.ClientRequestID),
+		slog.Int("attempt", attempt.number),
+		slog.String("engine", attempt.endpoint.Name),
+		slog.Uint64("connection", uint64(attempt.write.Connection)),
+		slog.Duration("age", time.Since(attempt.startedAt).Round(time.Microsecond)))
+}
+
+// logHeld logs that an engine holds state for a request from now on.
+func (c *Core) logHeld(request *requestState, attempt *attemptState) {
+	if !c.debugLogging {
+		return
+	}
+	c.log.LogAttrs(context.Background(), slog.LevelDebug, "state held",
+		slog.String("id", request.ClientRequestID),
+		slog.String("engine", attempt.endpoint.Name),
+		slog.Uint64("connection", uint64(attempt.write.Connection)),
+		slog.Duration("limit", c.limits.HeldStateLimit))
+}
+
+// logStateEnd logs what ended the time of a state, at an engine.
+func (c *Core) logStateEnd(request *requestState, engine string, end stateEnd) {
+	if !c.debugLogging {
+		return
+	}
+	c.log.LogAttrs(context.Background(), slog.LevelDebug, "state ended",
+		slog.String("id", request.ClientRequestID),
+		slog.String("engine", engine),
+		slog.String("reason", string(end)))
+}
+
+// logExpired logs, for operators too, that a state has reached its limit: which attempts were in flight,
+// on which connections, and what had been heard on these.
+func (c *Core) logExpired(request *requestState) {
+	holder := request.held.ledger.StateHolder()
+	c.logStateEnd(request, holder, stateExpired)
+	attrs := []slog.Attr{
+		slog.String("id", request.ClientRequestID),
+		slog.String("engine", holder),
+		slog.Duration("limit", c.limits.HeldStateLimit),
+	}
+	for _, attempt := range request.attempts {
+		if request.inFlight(attempt) || !attempt.ended {
+			attrs = append(attrs, attempt.logCover())
+		}
+	}
+	c.log.LogAttrs(context.Background(), slog.LevelInfo, "held state at its limit", attrs...)
+}
+
+// logCover describes an attempt that may have been waiting for a state: its connection, and the evidence
+// that it has arrived.
+func (a *attemptState) logCover() slog.Attr {
+	evidence := "none"
+	if first, heard := a.handle.FirstByte(); heard {
+		evidence = "answer after " + first.At.Sub(a.write.At).Round(time.Millisecond).String()
+	}
+	return slog.Group("cover",
+		slog.Int("attempt", a.number),
+		slog.String("engine", a.endpoint.Name),
+		slog.Bool("written", a.written),
+		slog.Bool("ended", a.ended),
+		slog.Uint64("connection", uint64(a.write.Connection)),
+		slog.Duration("age", time.Since(a.startedAt).Round(time.Millisecond)),
+		slog.String("evidence", evidence))
+}
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -50,9 +50,10 @@
 type attemptWritten struct {
 	request *requestState
 	attempt *attemptState
+	write   WriteRecord
 }
 
-func (m attemptWritten) handle(c *Core) { c.recordWritten(m.request, m.attempt) }
+func (m attemptWritten) handle(c *Core) { c.recordWritten(m.request, m.attempt, m.write) }
 
 // streamOpened brings the answer of an attempt, from its first event on.
 type streamOpened struct {
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -47,6 +47,7 @@
 			slog.String("id", request.ClientRequestID), slog.String("engine", engine), slog.Any("cause", err))
 		return
 	}
+	c.logStateEnd(request, engine, stateReleased)
 	c.endpoints.recordHeard(engine)
 	if request.held.lingersAfterAnswer && request.lingeringAttempt != nil && engine == request.lingerTarget() {
 		c.endLingering(request)
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"wellgw/decide/heldstate"
 	"wellgw/internal/invariant"
 	"wellgw/routing"
 )
@@ -44,10 +45,26 @@
 	n       int
 	a       Attempt
 	written atomic.Bool
+	heard   atomic.Pointer[FirstByte]
 	first   func(Stream)
 	ended   func(Result)
 }
 
+// connection is that of the attempt; each has one of its own.
+func (a *tracedAttempt) connection() heldstate.Connection { return heldstate.Connection(a.n + 1) }
+
+// answerArrives has the first byte of an answer arrive on the attempt's connection.
+func (a *tracedAttempt) answerArrives() {
+	a.heard.Store(&FirstByte{Connection: a.connection(), At: time.Now()})
+}
+
+func (a *tracedAttempt) FirstByte() (FirstByte, bool) {
+	if first := a.heard.Load(); first != nil {
+		return *first, true
+	}
+	return FirstByte{}, false
+}
+
 func (tr *tracer) note(format string, args ...any) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -149,19 +166,23 @@
 // written has the core hear that an attempt's last byte is written.
 func (tr *tracer) written(n int) {
 	tr.begun()[n].written.Store(true)
-	tr.begun()[n].a.Written()
+	tr.begun()[n].a.Written(WriteRecord{Connection: tr.begun()[n].connection(), At: time.Now()})
 	synctest.Wait()
 }
 
 func (tr *tracer) ended(n int, s routing.Status) { tr.end(n, Result{Status: s}) }
 
 func (tr *tracer) end(n int, r Result) {
+	if r.Status != routing.StatusReset && r.Status != routing.StatusConnectFailed {
+		tr.begun()[n].answerArrives()
+	}
 	tr.begun()[n].ended(r)
 	synctest.Wait()
 }
 
 func (tr *tracer) first(n int) *tracedStream {
 	s := &tracedStream{tr: tr, name: fmt.Sprint(n)}
+	tr.begun()[n].answerArrives()
 	tr.begun()[n].first(s)
 	synctest.Wait()
 	return s
@@ -578,7 +599,7 @@
 
 func (*servingEngine) Start(a Attempt, first func(Stream), ended func(Result)) Handle {
 	go func() {
-		a.Written()
+		a.Written(WriteRecord{At: time.Now()})
 		if a.Endpoint.Kind == "r" {
 			ended(Result{Status: routing.StatusPrefilled})
 			return
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"wellgw/decide/heldstate"
 	"wellgw/routing"
 )
 
@@ -38,14 +39,30 @@
 	// it, which waits for its return; nil for nothing to wait for.
 	Connected func()
 	// Written is called once the last byte has been written.
-	Written func()
+	Written func(WriteRecord)
 	// ClientGone reports whether the client has disconnected. It is checked right before the first
 	// byte is written; if so, nothing is written and the attempt ends as StatusNotSent.
 	ClientGone func() bool
 }
 
+// WriteRecord tells which connection a request was written to, and when its last byte was.
+type WriteRecord struct {
+	Connection heldstate.Connection
+	At         time.Time
+}
+
+// FirstByte tells on which connection an engine's answer to an attempt began to arrive, and when.
+type FirstByte struct {
+	Connection heldstate.Connection
+	At         time.Time
+}
+
 // Handle is an attempt under way.
 type Handle interface {
+	// FirstByte returns when the first byte arrived on the attempt's own connection after the
+	// attempt was written; false while none has. It may be called at any time, also after the end.
+	FirstByte() (FirstByte, bool)
+
 	// Cancel abandons the attempt and closes its connection at once. It may be called more than once.
 	Cancel()
 	// Withdraw does the same if nothing has been written yet, and reports whether that is so;
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -12,6 +12,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wellgw/internal/core"
@@ -81,6 +82,22 @@
 	writing bool // the first byte may have been written
 	cancel  context.CancelFunc
 	pool    *Pool
+
+	firstByte atomic.Pointer[core.FirstByte] // nil until one has arrived
+}
+
+// FirstByte implements core.Handle.
+func (t *attemptHandle) FirstByte() (core.FirstByte, bool) {
+	first := t.firstByte.Load()
+	if first == nil {
+		return core.FirstByte{}, false
+	}
+	return *first, true
+}
+
+// recordFirstByte records that the answer to the attempt has begun to arrive on its connection.
+func (t *attemptHandle) recordFirstByte(c *conn) {
+	t.firstByte.CompareAndSwap(nil, &core.FirstByte{Connection: c.id, At: time.Now()})
 }
 
 // setConn records the connection in use; false if the attempt has been cancelled.
@@ -123,7 +140,7 @@
 	t.mu.Unlock()
 	t.cancel()
 	if c != nil {
-		t.pool.discard(c)
+		t.pool.discard(c, closedAbandoned)
 	}
 }
 
@@ -140,7 +157,7 @@
 	case reuse:
 		t.pool.put(c)
 	default:
-		t.pool.discard(c)
+		t.pool.discard(c, closedFailed)
 	}
 }
 
@@ -171,7 +188,7 @@
 		t.endAttempt(false)
 		return nil, *unsent
 	}
-	resp, err := readResponseHead(c, until)
+	resp, err := readResponseHead(c, until, func() { t.recordFirstByte(c) })
 	if err != nil {
 		t.endAttempt(false)
 		return nil, core.Result{Status: failureStatus(err), Cause: err}
@@ -210,7 +227,7 @@
 		return nil, &core.Result{Status: routing.StatusConnectFailed, Cause: err}
 	}
 	if a.Written != nil {
-		a.Written()
+		a.Written(core.WriteRecord{Connection: c.id, At: time.Now()})
 	}
 	return c, nil
 }
@@ -269,8 +286,9 @@
 
 // readResponseHead reads a response head, past any interim ones. It waits for each to begin until a
 // deadline, and only headTimeout for the rest of one that has begun: a head that does not end would
-// keep the request waiting although nothing more will come.
-func readResponseHead(c *conn, until time.Time) (*http.Response, error) {
+// keep the request waiting although nothing more will come. It calls begun when the first byte of each
+// head has arrived; nil for nothing to call.
+func readResponseHead(c *conn, until time.Time, begun func()) (*http.Response, error) {
 	c.in.remaining = maxHead
 	defer func() { c.in.remaining = math.MaxInt64 }()
 	for {
@@ -278,6 +296,9 @@
 		if _, err := c.buffered.Peek(1); err != nil {
 			return nil, err
 		}
+		if begun != nil {
+			begun()
+		}
 		if span := time.Now().Add(headTimeout); span.Before(until) {
 			c.SetReadDeadline(span)
 		}
@@ -323,7 +344,7 @@
 	}
 	c.SetDeadline(time.Now().Add(wait))
 	if err := writeCall(c, call); err != nil {
-		e.pool.discard(c)
+		e.pool.discard(c, closedFailed)
 		return nil, nil, fmt.Errorf("write: %w", err)
 	}
 	return e.readResponse(c, wait, put)
@@ -331,14 +352,14 @@
 
 // readResponse reads the response to a short call on its connection, which put gives back.
 func (e *Client) readResponse(c *conn, wait time.Duration, put func(*conn)) (*http.Response, []byte, error) {
-	resp, err := readResponseHead(c, time.Now().Add(wait))
+	resp, err := readResponseHead(c, time.Now().Add(wait), nil)
 	if err != nil {
-		e.pool.discard(c)
+		e.pool.discard(c, closedFailed)
 		return nil, nil, fmt.Errorf("read: %w", err)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
 	if err != nil || len(body) == maxResponse || resp.Close {
-		e.pool.discard(c)
+		e.pool.discard(c, closedFailed)
 		return resp, body, err
 	}
 	put(c)
--- a/internal/upstream/errno_test.go
+++ b/internal/upstream/errno_test.go
@@ -57,7 +57,7 @@
 	e := NewClient(pool, func(string) Dialect { return plainDialect{} })
 	ended := make(chan core.Result, 1)
 	e.Start(core.Attempt{
-		ClientRequestID: "a", Endpoint: core.Endpoint{Addr: "127.0.0.1:1"}, Timeout: time.Second, Written: func() { written = true },
+		ClientRequestID: "a", Endpoint: core.Endpoint{Addr: "127.0.0.1:1"}, Timeout: time.Second, Written: func(core.WriteRecord) { written = true },
 		Payload: core.Payload{Method: "POST", Target: "/x", Body: []byte("0123456789")},
 	}, func(core.Stream) { t.Error("a stream") }, func(r core.Result) { ended <- r })
 	r := <-ended
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,14 +9,17 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"net"
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"wellgw/decide/heldstate"
 	"wellgw/internal/faultinject"
 	"wellgw/internal/pause"
 )
@@ -31,6 +34,7 @@
 	ReuseDelay           time.Duration // delay from a response to the next request on its connection; 0 = none. See get
 	// Dial opens a connection; nil for the system's own. Tests inject a network with faults.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Log  *slog.Logger // takes a line for each connection that is closed, at level debug; nil for none
 }
 
 // The pool's margins.
@@ -53,6 +57,7 @@
 // conn is one connection to an engine.
 type conn struct {
 	net.Conn
+	id         heldstate.Connection
 	in         *limitedReader
 	buffered   *bufio.Reader // over in
 	addr       string
@@ -64,10 +69,11 @@
 
 // Pool keeps idle connections to engines.
 type Pool struct {
-	opt  Options
-	mu   sync.Mutex
-	idle map[string][]*conn
-	open int
+	opt    Options
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	open   int
+	lastID heldstate.Connection
 }
 
 // NewPool returns an empty pool. Sweep must run for idle connections to be closed in time.
@@ -80,10 +86,10 @@
 	for {
 		select {
 		case <-ctx.Done():
-			p.retire(func(*conn) bool { return true })
+			p.retire(func(*conn) closeReason { return closedShutdown })
 			return
 		case now := <-t.C:
-			p.retire(func(c *conn) bool { return p.stale(c, now) || !openAndQuiet(c.Conn) })
+			p.retire(func(c *conn) closeReason { return p.unusable(c, now) })
 		}
 	}
 }
@@ -97,15 +103,26 @@
 	return p.opt.ServerIdleTimeout > 0 && now.Sub(c.idleSince) > time.Duration(idleFraction*float64(p.opt.ServerIdleTimeout))
 }
 
-func (p *Pool) retire(old func(*conn) bool) {
+// unusable returns why an idle connection can't carry a request any more, "" if it can.
+func (p *Pool) unusable(c *conn, now time.Time) closeReason {
+	switch {
+	case p.stale(c, now):
+		return closedStale
+	case !openAndQuiet(c.Conn):
+		return closedByEngine
+	}
+	return ""
+}
+
+// retire closes the idle connections for which reason returns one.
+func (p *Pool) retire(reason func(*conn) closeReason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if old(c) {
-				c.Close()
-				p.open--
+			if why := reason(c); why != "" {
+				p.closeLocked(c, why)
 				continue
 			}
 			kept = append(kept, c)
@@ -147,13 +164,13 @@
 		if p.idle[addr] = slices.Delete(p.idle[addr], at, at+1); len(p.idle[addr]) == 0 {
 			delete(p.idle, addr)
 		}
-		if !p.stale(c, now) && openAndQuiet(c.Conn) {
+		why := p.unusable(c, now)
+		if why == "" {
 			p.mu.Unlock()
 			c.retireAt = time.Time{} // in use: pooled as any other from now on
 			return c, nil
 		}
-		c.Close()
-		p.open--
+		p.closeLocked(c, why)
 	}
 	return p.dial(ctx, addr, timeout)
 }
@@ -166,6 +183,8 @@
 		return nil, errPoolExhausted
 	}
 	p.open++
+	p.lastID++
+	id := p.lastID
 	p.mu.Unlock()
 	nc, err := p.connect(ctx, addr, timeout)
 	if err != nil {
@@ -174,8 +193,8 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
-	in := &limitedReader{from: nc, remaining: math.MaxInt64}
-	return &conn{Conn: nc, in: in, buffered: bufio.NewReaderSize(in, max(p.opt.ReadBuffer, minReadBuffer)), addr: addr}, nil
+	in := &limitedReader{from: nc, remaining: math.MaxInt64, opened: time.Now()}
+	return &conn{Conn: nc, id: id, in: in, buffered: bufio.NewReaderSize(in, max(p.opt.ReadBuffer, minReadBuffer)), addr: addr}, nil
 }
 
 // connect opens a connection. A transient failure of this machine, such as a lack of free ports,
@@ -224,6 +243,9 @@
 type limitedReader struct {
 	from      io.Reader
 	remaining int64
+	opened    time.Time
+	firstRead atomic.Int64 // when the first byte of all was read, in nanoseconds since opened; 0 for never
+	lastRead  atomic.Int64 // when the latest was
 }
 
 func (b *limitedReader) Read(p []byte) (int, error) {
@@ -232,6 +254,7 @@
 	}
 	n, err := b.from.Read(p[:min(int64(len(p)), b.remaining)])
 	b.remaining -= int64(n)
+	b.recordRead(n)
 	return n, err
 }
 
@@ -239,9 +262,8 @@
 func (p *Pool) evict() bool {
 	for addr, list := range p.idle {
 		if len(list) > 0 {
-			list[0].Close()
+			p.closeLocked(list[0], closedEvicted)
 			p.idle[addr] = list[1:]
-			p.open--
 			return true
 		}
 	}
@@ -271,7 +293,7 @@
 	// Bytes beyond the response, such as a second one, would be taken for the next response. Bytes
 	// that have arrived and are not buffered yet are checked for when the connection is reused.
 	if c.buffered.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
-		p.discard(c)
+		p.discard(c, closedUnusable)
 		return
 	}
 	c.idleSince = time.Now()
@@ -280,11 +302,18 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
-func (p *Pool) discard(c *conn) {
-	c.Close()
+// discard closes a connection that is in use.
+func (p *Pool) discard(c *conn, why closeReason) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeLocked(c, why)
+}
+
+// closeLocked closes a connection. The lock is held.
+func (p *Pool) closeLocked(c *conn, why closeReason) {
+	c.Close()
 	p.open--
-	p.mu.Unlock()
+	p.logClosed(c, why)
 }
 
 // openAndQuiet reports whether a connection is open with nothing to read. One that its engine has
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -47,7 +47,7 @@
 			if _, err := p.get(t.Context(), server.Addr); err != errPoolExhausted {
 				t.Errorf("a connection past the limit: %v", err)
 			}
-			p.discard(second)
+			p.discard(second, closedAbandoned)
 		})
 	}
 }
@@ -64,7 +64,7 @@
 		t.Fatalf("a probe's new connection is kept until %v, idle since %v", probed.retireAt, probed.idleSince)
 	}
 	probed.retireAt = time.Now().Add(-time.Millisecond) // its moment has passed
-	p.retire(func(c *conn) bool { return p.stale(c, time.Now()) })
+	p.retire(func(c *conn) closeReason { return p.unusable(c, time.Now()) })
 	taken := get()
 	if p.putAfterProbe(taken); taken == probed || get() != taken || !taken.retireAt.IsZero() {
 		t.Errorf("kept past its moment %v, or retired though a request took it (%v)", taken == probed, taken.retireAt)
@@ -102,7 +102,7 @@
 	if err := writeCall(first, ask); err != nil {
 		t.Fatal(err)
 	}
-	if resp, err := readResponseHead(first, time.Now().Add(time.Minute)); err != nil || resp.StatusCode != 202 {
+	if resp, err := readResponseHead(first, time.Now().Add(time.Minute), nil); err != nil || resp.StatusCode != 202 {
 		t.Fatal(resp, err)
 	} else if _, err := io.ReadAll(resp.Body); err != nil {
 		t.Fatal(err)
--- a/internal/upstream/release.go
+++ b/internal/upstream/release.go
@@ -158,7 +158,7 @@
 	}
 	c.SetDeadline(time.Now().Add(releaseResponseTimeout))
 	if err := writeCall(c, call); err != nil {
-		r.engine.pool.discard(c)
+		r.engine.pool.discard(c, closedFailed)
 		return err
 	}
 	leave() // the call is written: an engine that does not answer must not keep others waiting
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -190,7 +190,7 @@
 		t.Errorf("%d calls have come", len(calls))
 	}
 	written := make(chan struct{})
-	attempt, _ = start(core.Attempt{Written: func() { close(written) }})
+	attempt, _ = start(core.Attempt{Written: func(core.WriteRecord) { close(written) }})
 	<-written
 	if attempt.Withdraw() {
 		t.Error("taken back after it was written")
