--- a/experiments/faultnet/faultnet.go
+++ b/experiments/faultnet/faultnet.go
@@ -39,11 +39,13 @@
 	Moved uint64 // datagrams, and parts of connections, passed on
 	group sync.WaitGroup
 
-	listen  map[string]string // where processes take connections
-	doors   []net.Listener
-	links   map[*link]bool
-	changed *sync.Cond // a rule, or over
-	over    bool
+	listen   map[string]string // where processes take connections
+	doors    []net.Listener
+	links    map[*link]bool
+	lastLink uint64 // the number of the link that was opened last
+	vanished map[string]bool
+	changed  *sync.Cond // a rule, or over
+	over     bool
 }
 
 // Port is the relay before one process.
@@ -57,7 +59,7 @@
 func New(seed uint64) *Net {
 	n := &Net{
 		rng: rand.New(rand.NewPCG(seed, 3)), ports: map[string]*Port{}, names: map[netip.AddrPort]string{},
-		rules: map[pair]Rule{}, held: map[pair][][]byte{}, listen: map[string]string{}, links: map[*link]bool{},
+		rules: map[pair]Rule{}, held: map[pair][][]byte{}, listen: map[string]string{}, links: map[*link]bool{}, vanished: map[string]bool{},
 	}
 	n.changed = sync.NewCond(&n.mu)
 	return n
--- /dev/null
+++ b/experiments/faultnet/lost.go
@@ -0,0 +1,120 @@
+package faultnet
+
+import (
+	"cmp"
+	"net"
+	"slices"
+)
+
+// Ways are directions of a connection, from the side of who dialled it.
+type Ways uint8
+
+// The directions, which may be combined.
+const (
+	Toward Ways = 1 << iota // to who was dialled
+	Back                    // to who dialled
+	Both   = Toward | Back
+)
+
+// Use is what a connection does at a moment.
+type Use uint8
+
+// The uses of connections.
+const (
+	AnyUse Use = iota
+	AtRest     // what came last was an answer, or nothing has come
+	InUse      // something was sent toward who was dialled, and no answer has come yet
+)
+
+// matches reports whether a link is in a use. The net's lock is held.
+func (u Use) matches(l *link) bool { return u == AnyUse || (u == InUse) == l.unanswered }
+
+// Lose loses one open connection from one process to another, drawn from the net's seed among those in a
+// use. What is sent on it that way is taken and dropped from then on, the end of the sending included; no
+// side sees an error, and all other connections, old and new, go on. It reports whether there was one.
+func (n *Net) Lose(from, to string, use Use, ways Ways) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	open := n.openLinks(from, to, use)
+	if len(open) == 0 {
+		return false
+	}
+	open[n.rng.IntN(len(open))].lost |= ways
+	return true
+}
+
+// LoseAll loses every open connection from one process to another that is in a use, and returns how
+// many there were.
+func (n *Net) LoseAll(from, to string, use Use, ways Ways) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	open := n.openLinks(from, to, use)
+	for _, l := range open {
+		l.lost |= ways
+	}
+	return len(open)
+}
+
+// Vanish has a machine vanish: its open connections are lost for good. So are those opened until Return,
+// as their relay on this machine takes them all the same.
+func (n *Net) Vanish(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.vanished[name] = true
+	for l := range n.links {
+		if l.from == name || l.to == name {
+			l.lost = Both
+		}
+	}
+}
+
+// Return has a machine come back: new connections work, and those that were lost stay lost.
+func (n *Net) Return(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.vanished, name)
+}
+
+// openLinks returns the links of a pair that are in a use and not lost yet, the oldest first. The lock is held.
+func (n *Net) openLinks(from, to string, use Use) []*link {
+	var open []*link
+	for l := range n.links {
+		if l.pair == (pair{from, to}) && l.lost == 0 && use.matches(l) {
+			open = append(open, l)
+		}
+	}
+	slices.SortFunc(open, func(a, b *link) int { return cmp.Compare(a.number, b.number) })
+	return open
+}
+
+// addLink records a connection that is carried from now on; false if the net is closed.
+func (n *Net) addLink(p pair, in, out *net.TCPConn) (*link, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lastLink++
+	l := &link{pair: p, in: in, out: out, number: n.lastLink}
+	if n.vanished[p.from] || n.vanished[p.to] {
+		l.lost = Both
+	}
+	if !n.over { // Close has reset all links and would wait for this one
+		n.links[l] = true
+	}
+	return l, !n.over
+}
+
+func (n *Net) removeLink(l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.links, l)
+}
+
+// passes records that something is carried one way of a link, and reports whether it arrives.
+func (n *Net) passes(l *link, way Ways) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l.lost&way != 0 {
+		return false
+	}
+	l.unanswered = way == Toward
+	return true
+}
--- a/experiments/faultnet/stream.go
+++ b/experiments/faultnet/stream.go
@@ -15,7 +15,10 @@
 // link is one connection that is carried, from its dialler to who listens.
 type link struct {
 	pair
-	in, out *net.TCPConn
+	in, out    *net.TCPConn
+	number     uint64 // in order of opening
+	lost       Ways   // on which what is sent is dropped; the net's lock guards it
+	unanswered bool   // something was sent toward out, and nothing has come back since; likewise
 }
 
 // Dial opens a way by which one process connects to another, and returns the address that
@@ -87,28 +90,24 @@
 	}
 	out := conn.(*net.TCPConn)
 	defer out.Close()
-	l := &link{pair: p, in: in, out: out}
-	n.mu.Lock()
-	over := n.over // Close has reset all links and would wait for this one
-	n.links[l] = !over
-	n.mu.Unlock()
-	defer func() {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		delete(n.links, l)
-	}()
-	if over {
+	l, open := n.addLink(p, in, out)
+	if !open {
 		return
 	}
+	defer n.removeLink(l)
 	var both sync.WaitGroup
-	both.Go(func() { n.carry(p, in, out) })
-	both.Go(func() { n.carry(pair{p.to, p.from}, out, in) })
+	both.Go(func() { n.carry(l, Toward) })
+	both.Go(func() { n.carry(l, Back) })
 	both.Wait()
 }
 
 // carry moves one direction of a connection until it ends. An orderly end is passed on as
-// such; a broken one breaks the other side.
-func (n *Net) carry(p pair, from, to *net.TCPConn) {
+// such; a broken one breaks the other side. Where the direction is lost, neither is passed on.
+func (n *Net) carry(l *link, way Ways) {
+	p, from, to := l.pair, l.in, l.out
+	if way == Back {
+		p, from, to = pair{l.to, l.from}, l.out, l.in
+	}
 	buf := make([]byte, chunk)
 	for {
 		size, err := from.Read(buf)
@@ -120,6 +119,12 @@
 		n.Moved++
 		n.mu.Unlock()
 		time.Sleep(wait)
+		if !n.passes(l, way) {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if size > 0 {
 			if _, err := to.Write(buf[:size]); err != nil {
 				_ = from.SetLinger(0)
--- a/internal/upstream/held_test.go
+++ b/internal/upstream/held_test.go
@@ -292,7 +292,7 @@
 	name := pick(s.random, s.members...).Name
 	last := between(s.random, 200*time.Millisecond, 6*time.Second)
 	broken := s.random.IntN(2) == 0
-	switch s.random.IntN(6) {
+	switch s.random.IntN(10) {
 	case 0, 1:
 		names := []string{name}
 		if s.random.IntN(2) == 0 { // a zone, or a role
@@ -321,9 +321,34 @@
 		})
 	case 5:
 		s.fleet.restart(name)
+	case 6, 7:
+		s.loseConnections(name, last)
+	case 8:
+		s.fleet.network(name, "all open connections lost", func(l *simLink) { l.loseAll() })
+	case 9:
+		s.fleet.holdUp(between(s.random, 100*time.Millisecond, mostHeldUp))
 	}
 }
 
+// mostConnections is more than a gateway ever has open to one engine here.
+const mostConnections = 1000
+
+// mostHeldUp is for how long a process may be held up between its clock and a write.
+const mostHeldUp = 150 * time.Millisecond
+
+// loseConnections loses single connections to an engine for a while, one after the other.
+func (s *scenario) loseConnections(name string, last time.Duration) {
+	both, pause := s.random.IntN(3) > 0, between(s.random, 20*time.Millisecond, 200*time.Millisecond)
+	end := time.Now().Add(last)
+	go func() {
+		for time.Now().Before(end) && s.streams.Err() == nil {
+			drawn := s.fleet.chance(mostConnections)
+			s.fleet.network(name, "a connection lost", func(l *simLink) { l.lose(drawn, both) })
+			time.Sleep(pause)
+		}
+	}()
+}
+
 func (s *scenario) partition(name string, last time.Duration, broken bool) {
 	s.fleet.network(name, "cut", func(l *simLink) { l.change(func() { l.cut = true }) })
 	time.AfterFunc(last, func() {
--- a/internal/upstream/memory_test.go
+++ b/internal/upstream/memory_test.go
@@ -85,7 +85,7 @@
 	set.MaxAttempts = 4
 	var members []core.Endpoint
 	for _, name := range []string{"r0", "r1", "w0", "w1"} {
-		c.links[name] = newSimLink(time.Millisecond, careless(random, name[0] == 'r'))
+		c.links[name] = newSimLink(time.Millisecond, careless(random, name[0] == 'r'), func() {})
 		members = append(members, core.Endpoint{Addr: name, EngineInfo: routing.EngineInfo{Name: name, Kind: name[:1], Zone: set.Zone, Weight: 1}})
 	}
 	pool := upstream.NewPool(upstream.Options{
--- a/internal/upstream/simfleet_test.go
+++ b/internal/upstream/simfleet_test.go
@@ -40,6 +40,7 @@
 	steps    []string
 	releases int
 	triggers []*trigger
+	resumes  time.Time // until then the gateway's process is held up
 	ended    time.Time // when the gateway's process did; zero before
 	killed   bool      // its time was up
 }
@@ -66,7 +67,7 @@
 // add places an engine at a distance.
 func (f *simFleet) add(name string, role routing.Role, delay time.Duration) {
 	e := &simEngine{fleet: f, name: name, role: role}
-	e.link = newSimLink(delay, e.serve)
+	e.link = newSimLink(delay, e.serve, f.waitHeldUp)
 	f.links[name], f.engines[name] = e.link, e
 }
 
@@ -81,6 +82,24 @@
 	return link.dial(ctx)
 }
 
+// holdUp holds the gateway's process up, as a busy machine or a stop signal does: nothing that it has
+// read or is about to write goes on before the end.
+func (f *simFleet) holdUp(span time.Duration) {
+	f.step("the gateway is held up for %v", span)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.resumes = time.Now().Add(span)
+}
+
+func (f *simFleet) waitHeldUp() {
+	f.mu.Lock()
+	wait := time.Until(f.resumes)
+	f.mu.Unlock()
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+}
+
 // note keeps a step, for a seed that fails.
 func (f *simFleet) note(format string, args ...any) {
 	f.steps = append(f.steps, fmt.Sprintf("%9v ", time.Since(f.begun))+fmt.Sprintf(format, args...))
--- a/internal/upstream/simnet_test.go
+++ b/internal/upstream/simnet_test.go
@@ -1,11 +1,13 @@
 package upstream_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,10 +25,12 @@
 	late    time.Duration // a new connection comes up after this
 	accept  func(net.Conn)
 	conns   map[*simConn]bool // the gateway's ends
+	opened  int               // connections so far
+	heldUp  func()            // waits while the gateway's process is held up
 }
 
-func newSimLink(delay time.Duration, accept func(net.Conn)) *simLink {
-	return &simLink{changed: make(chan struct{}), delay: delay, accept: accept, conns: map[*simConn]bool{}}
+func newSimLink(delay time.Duration, accept func(net.Conn), heldUp func()) *simLink {
+	return &simLink{changed: make(chan struct{}), delay: delay, accept: accept, conns: map[*simConn]bool{}, heldUp: heldUp}
 }
 
 // change alters the link under its lock and wakes all who wait for something on it.
@@ -53,6 +57,36 @@
 	})
 }
 
+// lose loses one open connection, chosen by a number that was drawn: what the gateway sends on it never arrives and, if
+// both, nor does what its engine sends. It reports whether there was one.
+func (l *simLink) lose(drawn int, both bool) bool {
+	lost := false
+	l.change(func() {
+		var open []*simConn
+		for c := range l.conns {
+			if !c.lost {
+				open = append(open, c)
+			}
+		}
+		if len(open) == 0 {
+			return
+		}
+		slices.SortFunc(open, func(a, b *simConn) int { return cmp.Compare(a.number, b.number) })
+		one := open[drawn%len(open)]
+		one.lost, one.peer.lost, lost = true, both, true
+	})
+	return lost
+}
+
+// loseAll loses every open connection both ways, as when a machine vanishes and is back.
+func (l *simLink) loseAll() {
+	l.change(func() {
+		for c := range l.conns {
+			c.lost, c.peer.lost = true, true
+		}
+	})
+}
+
 // lateMost is how late a new connection may come up for its engine to count as reached: a
 // later one takes most of what the rule leaves for a release.
 const lateMost = releaseSlack / 3
@@ -99,7 +133,8 @@
 		wait.Stop()
 		l.mu.Lock()
 	}
-	near, far := &simConn{link: l}, &simConn{link: l}
+	l.opened++
+	near, far := &simConn{link: l, number: l.opened, near: true}, &simConn{link: l}
 	near.peer, far.peer = far, near
 	l.conns[near] = true
 	l.mu.Unlock()
@@ -117,17 +152,43 @@
 // simConn is one end of a connection. The link's lock guards it.
 type simConn struct {
 	link     *simLink
+	number   int  // of the gateway's end, in order of opening
+	near     bool // it is the gateway's end
 	peer     *simConn
 	inbox    []segment
 	broken   bool // reset
 	closed   bool
 	heardEnd bool      // the end of the other side's sending has been read
 	answered bool      // an engine's end: its answer has been written whole
+	lost     bool      // what this end sends never arrives, and its end is not noticed; no error shows
 	sent     time.Time // when the other side wrote what was read last
 	deadline time.Time // for reading; writes never wait
 }
 
 func (c *simConn) Read(p []byte) (int, error) {
+	checked := c.checksOnly()
+	n, err := c.read(p)
+	if !checked {
+		c.waitHeldUp()
+	}
+	return n, err
+}
+
+// checksOnly tells whether a read does not wait: the pool's check of an idle connection, under its lock.
+func (c *simConn) checksOnly() bool {
+	c.link.mu.Lock()
+	defer c.link.mu.Unlock()
+	return !c.deadline.IsZero() && !time.Now().Before(c.deadline)
+}
+
+// waitHeldUp waits while the process that has this end is held up.
+func (c *simConn) waitHeldUp() {
+	if c.near {
+		c.link.heldUp()
+	}
+}
+
+func (c *simConn) read(p []byte) (int, error) {
 	c.link.mu.Lock()
 	for {
 		now := time.Now()
@@ -189,6 +250,7 @@
 }
 
 func (c *simConn) Write(p []byte) (int, error) {
+	c.waitHeldUp()
 	c.link.mu.Lock()
 	defer c.link.mu.Unlock()
 	switch {
@@ -197,7 +259,9 @@
 	case c.broken || c.peer.closed:
 		return 0, &net.OpError{Op: "write", Err: syscall.ECONNRESET}
 	}
-	c.peer.inbox = append(c.peer.inbox, segment{at: time.Now().Add(c.link.delay), data: append([]byte(nil), p...)})
+	if !c.lost {
+		c.peer.inbox = append(c.peer.inbox, segment{at: time.Now().Add(c.link.delay), data: append([]byte(nil), p...)})
+	}
 	c.link.wake()
 	return len(p), nil
 }
@@ -209,8 +273,10 @@
 		return net.ErrClosed
 	}
 	c.closed = true
-	c.peer.inbox = append(c.peer.inbox, segment{at: time.Now().Add(c.link.delay), end: true})
-	delete(c.link.conns, c)
+	if !c.lost { // a lost one is kept, for the other end to learn of it when all links are reset
+		c.peer.inbox = append(c.peer.inbox, segment{at: time.Now().Add(c.link.delay), end: true})
+		delete(c.link.conns, c)
+	}
 	c.link.wake()
 	return nil
 }
@@ -242,6 +308,10 @@
 // abort resets the connection, as a process does that ends.
 func (c *simConn) abort() {
 	c.link.change(func() {
+		if c.lost { // the gateway does not learn of it
+			c.broken = true
+			return
+		}
 		if !c.peer.closed && !c.drained() {
 			c.broken, c.peer.broken = true, true
 		}
@@ -268,3 +338,10 @@
 		<-changed
 	}
 }
+
+// unheard tells whether an engine hears nothing of its client any more.
+func (c *simConn) unheard() bool {
+	c.link.mu.Lock()
+	defer c.link.mu.Unlock()
+	return c.peer.lost
+}
--- a/internal/upstream/simturn_test.go
+++ b/internal/upstream/simturn_test.go
@@ -42,7 +42,7 @@
 // judgeEnd checks that a stream whose client has left is given up at its engine, unless a cut
 // kept the engine from learning of it. The lock is held.
 func (f *simFleet) judgeEnd(t *turn, r *record) {
-	if r.streamLeft.IsZero() || t.conn.link.cutSince(r.streamLeft) {
+	if r.streamLeft.IsZero() || t.conn.link.cutSince(r.streamLeft) || t.conn.unheard() {
 		return
 	}
 	if late := time.Since(r.streamLeft); late > cutSlack {
@@ -89,7 +89,7 @@
 	c.until(func() bool {
 		read := c.answered && len(c.peer.inbox) == 0
 		if f.rules.learnsLate {
-			return read || c.broken || c.told()
+			return read || c.broken || c.told() || c.peer.lost && c.peer.closed // of which it never learns
 		}
 		return read || c.broken || c.peer.closed
 	})
