States held: only what comes on an attempt's own connection shows that it has arrived

Cause: that an attempt had arrived was concluded from the engine's answers to other requests on other connections, and from a check on a connection of its own. Where a single connection is lost, the state's time then stood still until the attempt's timeout, up to 6 s at a limit of 0.5 s.

Change: decide/heldstate takes the attempts in flight with the number of their connection, and as evidence only the first byte on that connection since the write; the check of engines is gone, with its counter. State is released at its limit under an attempt that nothing was heard of. The slack (0.35 s) is left whole for hold-ups at either end and the release's transit; a state's time starts when its answer was read. A prefill that nothing is heard of is treated alike, as its answer may be lost. A release sent while an attempt may have waited no longer counts as effective afterwards. Releases that bring no answer within 60 ms go again on a new connection, at alternates too.

The golden hash of heldstate and the core's trace are recorded anew, as decisions change; the hash now draws evidence of other connections as well. The list of counters has lost "engines checked", which no longer exists. The drawn test lets a write that a hold-up delayed come later by that hold-up, as nothing can call it back; without one its bound is as before.

--- a/cmd/wellgw/server.go
+++ b/cmd/wellgw/server.go
@@ -92,7 +92,7 @@
 	}
 	limits, options := s.coreLimits, s.pool
 	options.MaxConns, options.Log = connections, s.log
-	limits.HeldStateLimit, limits.MaxAttempts, limits.ReachTimeout = s.settings.HeldStateLimit, s.settings.MaxAttempts, options.ConnectTimeout
+	limits.HeldStateLimit, limits.MaxAttempts = s.settings.HeldStateLimit, s.settings.MaxAttempts
 	pool := upstream.NewPool(options)
 	directory := &lateDirectory{}
 	transport := &lateTransport{Transport: upstream.NewClient(pool, s.dialect)}
--- a/decide/heldstate/attempts.go
+++ b/decide/heldstate/attempts.go
@@ -6,12 +6,16 @@
 // none.
 func (l *Ledger) StateHolder() string { return l.stateHolder }
 
-// PrefillCompleted records that an engine has prefilled the prompt, and that its state waits there.
-func (l *Ledger) PrefillCompleted(engine string, now Time) {
-	l.noAttemptSince = now
+// PrefillCompleted records that an engine has prefilled the prompt, and that its state waits there
+// since its answer came.
+func (l *Ledger) PrefillCompleted(engine string, answered Time) {
+	l.noAttemptSince = answered
 	e := &engineEntry{}
 	if old := l.entries[engine]; old != nil { // an earlier prefill there may still run on
 		e.attemptLost, e.prefillMayRun = old.attemptLost, old.prefillMayRun
+		if old.releasing { // it must not free this state: see ReleasesToCancel
+			e.releasing, e.dueSince = true, old.dueSince
+		}
 	}
 	l.entries[engine] = e
 	if !l.finished {
@@ -22,20 +26,30 @@
 // AttemptLost records that an attempt ended without an answer: it may have left state or, where the
 // engine prefills and runs on, may leave it later.
 func (l *Ledger) AttemptLost(engine string, prefills bool) {
-	e := l.entries[engine]
+	e := l.entry(engine)
 	if e == nil {
-		e = &engineEntry{}
-		l.entries[engine] = e
+		return
 	}
-	e.attemptLost, e.delivered, e.lastRelease = true, 0, 0
+	e.attemptLost, e.delivered, e.lastRelease, e.lastAttempted = true, 0, 0, 0
 	e.prefillMayRun = e.prefillMayRun || prefills
 }
 
 // AttemptFailed records that an engine answered an attempt with an error.
 func (l *Ledger) AttemptFailed(engine string) {
-	if l.entries[engine] == nil {
-		l.entries[engine] = &engineEntry{}
+	l.entry(engine)
+}
+
+// entry returns what is known of an engine that may hold state from now on; nil if it never does.
+func (l *Ledger) entry(engine string) *engineEntry {
+	if l.stateless[engine] {
+		return nil
 	}
+	e := l.entries[engine]
+	if e == nil {
+		e = &engineEntry{}
+		l.entries[engine] = e
+	}
+	return e
 }
 
 // AnswerStarted records that an answer has begun, so the state was fetched. Should the answer break
@@ -70,29 +84,10 @@
 	l.resetUndelivered()
 }
 
-// AttemptConfirmedUntil records that an attempt was certainly in flight until now.
-func (l *Ledger) AttemptConfirmedUntil(now Time) { l.noAttemptSince = now }
-
-// SetAttemptState records whether an attempt of the request is in flight.
-func (l *Ledger) SetAttemptState(state AttemptState, now Time) {
-	if l.attemptState == Confirmed && state != Confirmed || l.noAttemptSince == 0 {
-		l.noAttemptSince = now
-	}
-	if l.attemptState != NoAttempt && state == NoAttempt {
-		l.resetUndelivered()
-	}
-	if l.attemptState != state {
-		l.reachChecked = false
-	}
-	l.attemptState = state
-}
-
-// resetUndelivered makes releases due at once at engines that were sent one only while an attempt may
-// have been waiting for the state.
+// resetUndelivered forgets the releases that were sent while an attempt may have been waiting for the
+// state: what they were to release is due at once.
 func (l *Ledger) resetUndelivered() {
 	for _, e := range l.entries {
-		if e.delivered == 0 {
-			e.lastRelease = 0
-		}
+		e.lastAttempted = 0
 	}
 }
--- a/decide/heldstate/golden_test.go
+++ b/decide/heldstate/golden_test.go
@@ -12,13 +12,13 @@
 
 // golden is the hash over all that ledgers have said under the events of goldenRun. Every value is
 // hashed as a number or as an engine's letter, so that it outlives renames.
-const golden = "28172bb471a78a1b75d50908752244a5d5252fd9eb012b91814ac682865e3d5e"
+const golden = "54b79b6c7db4892cf58abaa70e9ff557dbdec5861ab6717d6f168dd86bab0dd3"
 
 // goldenRun drives one ledger with events drawn from a seed, and hashes what it says after each.
 func goldenRun(h hash.Hash, seed uint64) {
 	draw := rand.New(rand.NewPCG(seed, 45))
 	span := func(most time.Duration) time.Duration { return time.Duration(draw.Int64N(int64(most))) }
-	lim := Limits{HeldStateLimit: 20*ms + span(time.Second), HeldStateSlack: span(400 * ms), ReleaseTimeout: 5 * time.Second, ReachTimeout: span(300 * ms), MaxCancelledPrefill: span(4 * time.Second)}
+	lim := Limits{HeldStateLimit: 20*ms + span(time.Second), HeldStateSlack: span(400 * ms), ReleaseTimeout: 5 * time.Second, MaxCancelledPrefill: span(4 * time.Second)}
 	l := New(lim)
 	names := []string{"a", "b", "c", "d"}
 	now := Time(ms)
@@ -63,9 +63,13 @@
 		case 8:
 			l.RepeatReleases()
 		case 9:
-			l.AttemptConfirmedUntil(now)
+			l.FlightEnded(drawnFlight(draw, names, now), now)
 		case 10, 11:
-			l.SetAttemptState([]AttemptState{NoAttempt, Unconfirmed, Confirmed}[draw.IntN(3)], now)
+			flights := make([]Flight, draw.IntN(3))
+			for i := range flights {
+				flights[i] = drawnFlight(draw, names, now)
+			}
+			l.SetFlights(flights, now)
 		case 12:
 			if draw.IntN(4) == 0 {
 				delete(flight, e)
@@ -80,8 +84,8 @@
 				l.ReleaseEnded(over, false, now)
 			}
 		}
-		check, expired := l.ReachCheckDue(now), l.Expired(now)
-		fmt.Fprint(h, number(check), number(expired), ",")
+		expired := l.Expired(now)
+		fmt.Fprint(h, number(expired), ",")
 		if expired {
 			l.Expire(now)
 		}
@@ -106,6 +110,19 @@
 	}
 }
 
+// drawnFlight draws an attempt that was written before now: with no answer, with one on its own
+// connection, or with evidence of another connection or from before it was written.
+func drawnFlight(draw *rand.Rand, engines []string, now Time) Flight {
+	f := Flight{
+		Engine: engines[draw.IntN(len(engines))], Prefills: draw.IntN(2) == 0, Connection: Connection(1 + draw.IntN(3)),
+		WrittenAt: now - Time(draw.Int64N(int64(min(now, time.Second)))),
+	}
+	if draw.IntN(2) == 0 {
+		f.Arrival = Arrival{Connection: Connection(1 + draw.IntN(3)), At: Time(draw.Int64N(int64(now))) + 1}
+	}
+	return f
+}
+
 func TestGolden(t *testing.T) {
 	h := sha256.New()
 	for seed := range uint64(2000) {
--- a/decide/heldstate/heldstate.go
+++ b/decide/heldstate/heldstate.go
@@ -2,7 +2,7 @@
 // request.
 //
 // A prefill leaves state at its engine. An attempt at a decode engine fetches it; otherwise it must be
-// released within the held-state limit, which counts while no attempt is in flight. A Ledger is the
+// released within the held-state limit, which counts while no attempt is known to be in flight. A Ledger is the
 // single owner of that duty for one request: it records which engines may hold state, since when and
 // how certainly, until each release has been delivered. It does no I/O and reads no clock.
 //
@@ -23,10 +23,6 @@
 	CancelTransit = 150 * time.Millisecond
 	// MinReleaseInterval is the least time between two releases at one engine.
 	MinReleaseInterval = 100 * time.Millisecond
-
-	// reachCheckDivisor divides the held-state limit: after that part of it an engine is checked at the
-	// earliest, so that anything which it answers before spares the check.
-	reachCheckDivisor = 4
 	// maxDrainWait is for how many held-state limits a draining gateway waits for an engine that is
 	// out of reach.
 	maxDrainWait = 4
@@ -35,9 +31,8 @@
 // Limits are the durations a ledger works with. They follow from the settings.
 type Limits struct {
 	HeldStateLimit      time.Duration // longest that state may be held with no attempt in flight
-	HeldStateSlack      time.Duration // by which it may be exceeded while a release is in transit
+	HeldStateSlack      time.Duration // by which it may be exceeded, by hold-ups and the release's transit
 	ReleaseTimeout      time.Duration // for which a release is retried at an engine out of reach
-	ReachTimeout        time.Duration // of a check whether an engine can be reached
 	MaxCancelledPrefill time.Duration // for which a prefill may run on once its engine knows of the cancel
 }
 
@@ -51,7 +46,8 @@
 	releasing     bool // a release is in flight
 	delivered     int  // releases delivered with no attempt in flight
 	firstDelivery Time // when the first of them was
-	lastRelease   Time // when the latest release of any kind was delivered
+	lastRelease   Time // when the latest of them was
+	lastAttempted Time // when the latest was that may have had no effect, as an attempt may have been in flight
 	givenUp       bool // the release was not delivered within ReleaseTimeout
 }
 
@@ -59,25 +55,14 @@
 type Ledger struct {
 	limits         Limits
 	entries        map[string]*engineEntry
-	stateHolder    string // the engine whose state the request continues with; "" for none
-	finished       bool   // the request has its final answer
-	attemptState   AttemptState
+	stateHolder    string          // the engine whose state the request continues with; "" for none
+	finished       bool            // the request has its final answer
+	flights        []Flight        // the attempts in flight
+	stateless      map[string]bool // engines that hold no state and never will
+	attemptState   attemptState
 	noAttemptSince Time // since when no attempt has certainly been in flight
-	reachChecked   bool // the engine of an unconfirmed attempt has been checked
 }
 
-// AttemptState says whether an attempt of the request is in flight.
-type AttemptState uint8
-
-// The states of a request's attempts together: that of the one which is known best.
-const (
-	NoAttempt AttemptState = iota
-	// Unconfirmed means that an attempt was written but its engine has not answered anything since:
-	// an idle connection does not show a network partition, so the attempt may never have arrived.
-	Unconfirmed
-	Confirmed // the engine has answered something since the attempt was written
-)
-
 // New returns an empty ledger.
 func New(limits Limits) *Ledger {
 	return &Ledger{limits: limits, entries: map[string]*engineEntry{}}
--- a/decide/heldstate/heldstate_test.go
+++ b/decide/heldstate/heldstate_test.go
@@ -11,6 +11,15 @@
 
 const ms = time.Millisecond
 
+// The attempts of these tests, all at the decode engine w but for prefillSent: none, one that nothing has
+// come of, one whose engine has answered on the attempt's own connection.
+var (
+	noFlights   []Flight
+	sent        = []Flight{{Engine: "w", Connection: 7, WrittenAt: 1}}
+	answered    = []Flight{{Engine: "w", Connection: 7, WrittenAt: 1, Arrival: Arrival{Connection: 7, At: 2}}}
+	prefillSent = []Flight{{Engine: "r", Prefills: true, Connection: 7, WrittenAt: 1}}
+)
+
 var limits = Limits{HeldStateLimit: 500 * ms, HeldStateSlack: 350 * ms, ReleaseTimeout: 30 * time.Second, MaxCancelledPrefill: 3 * time.Second}
 
 func TestReleasesDue(t *testing.T) {
@@ -23,20 +32,20 @@
 		{"state that waits for a decode engine", func(l *Ledger) { l.PrefillCompleted("r", 1) }, nil},
 		{"the request has its answer", func(l *Ledger) { l.PrefillCompleted("r", 1); l.Finish() }, []string{"r"}},
 		{"a prefill that was lost, and nothing is in flight", func(l *Ledger) { l.AttemptLost("r", true) }, []string{"r"}},
-		{"a prefill that was lost, and another attempt is in flight", func(l *Ledger) { l.AttemptLost("r", true); l.SetAttemptState(Confirmed, 1) }, nil},
-		{"the other attempt may never have arrived", func(l *Ledger) { l.AttemptLost("r", true); l.SetAttemptState(Unconfirmed, 1) }, nil},
-		{"and has been in flight for as long as state may wait", func(l *Ledger) { l.AttemptLost("r", true); l.SetAttemptState(Unconfirmed, 1-time.Second) }, []string{"r"}},
+		{"a prefill that was lost, and another attempt is in flight", func(l *Ledger) { l.AttemptLost("r", true); l.SetFlights(answered, 1) }, nil},
+		{"the other attempt may never have arrived", func(l *Ledger) { l.AttemptLost("r", true); l.SetFlights(sent, 1) }, nil},
+		{"and has been in flight for as long as state may wait", func(l *Ledger) { l.AttemptLost("r", true); l.SetFlights(sent, 1-time.Second) }, []string{"r"}},
 		{"a prefill that was lost before, and state waits", func(l *Ledger) { l.AttemptLost("r", true); l.PrefillCompleted("s", 1) }, nil},
-		{"an answer has begun", func(l *Ledger) { l.PrefillCompleted("r", 1); l.AnswerStarted(); l.SetAttemptState(Confirmed, 1) }, nil},
+		{"an answer has begun", func(l *Ledger) { l.PrefillCompleted("r", 1); l.AnswerStarted(); l.SetFlights(answered, 1) }, nil},
 		{"it breaks off", func(l *Ledger) {
 			l.PrefillCompleted("r", 1)
 			l.AnswerStarted()
-			l.SetAttemptState(NoAttempt, 1)
+			l.SetFlights(noFlights, 1)
 			l.Finish()
 		}, []string{"r"}},
 		{"an answer is complete", func(l *Ledger) { l.PrefillCompleted("r", 1); l.AnswerCompleted(); l.Finish() }, nil},
 		{"an answer is complete, a prefill may run on", func(l *Ledger) { l.AttemptLost("r", true); l.PrefillCompleted("s", 1); l.AnswerCompleted(); l.Finish() }, []string{"r"}},
-		{"the request continues at an engine that fetches nothing", func(l *Ledger) { l.PrefillCompleted("r", 1); l.Detach(); l.SetAttemptState(Confirmed, 1) }, []string{"r"}},
+		{"the request continues at an engine that fetches nothing", func(l *Ledger) { l.PrefillCompleted("r", 1); l.Detach(); l.SetFlights(answered, 1) }, []string{"r"}},
 		{"it answers", func(l *Ledger) { l.PrefillCompleted("r", 1); l.Detach(); l.AnswerCompleted(); l.Finish() }, []string{"r"}},
 		{"a decode engine has found no state", func(l *Ledger) { l.PrefillCompleted("r", 1); l.StateMissing() }, []string{"r"}},
 		{"an engine has failed the attempt", func(l *Ledger) { l.AttemptFailed("r"); l.Finish() }, []string{"r"}},
@@ -68,30 +77,95 @@
 // having certainly been in flight; then it is released.
 func TestExpire(t *testing.T) {
 	for _, c := range []struct {
-		state   AttemptState
+		name    string
+		flights []Flight
 		expires bool
 		holder  string
-	}{{NoAttempt, true, ""}, {Unconfirmed, true, "r"}, {Confirmed, false, "r"}} {
+	}{{"no attempt", noFlights, true, ""}, {"sent", sent, true, "r"}, {"answered", answered, false, "r"}} {
 		l := New(limits)
-		l.SetAttemptState(NoAttempt, 10*ms)
+		l.SetFlights(noFlights, 10*ms)
 		l.PrefillCompleted("r", time.Second)
-		l.SetAttemptState(c.state, time.Second+ms)
-		at := time.Second + limits.HeldStateLimit + limits.HeldStateSlack/2
+		l.SetFlights(c.flights, time.Second+ms)
+		at := time.Second + limits.HeldStateLimit
 		if l.Expired(at - 1) {
-			t.Errorf("%v: expired before its time", c.state)
+			t.Errorf("%v: expired before its time", c.name)
 		}
 		if l.Expired(at) != c.expires {
-			t.Errorf("%v: expired %v, want %v", c.state, !c.expires, c.expires)
+			t.Errorf("%v: expired %v, want %v", c.name, !c.expires, c.expires)
 		}
 		if !c.expires {
 			continue
 		}
 		l.Expire(at)
 		if l.StateHolder() != c.holder {
-			t.Errorf("%v: the request continues with the state of %q, want %q", c.state, l.StateHolder(), c.holder)
+			t.Errorf("%v: the request continues with the state of %q, want %q", c.name, l.StateHolder(), c.holder)
+		}
+		if diff := cmp.Diff([]string{"r"}, l.ReleasesDue(at)); diff != "" {
+			t.Errorf("%v: released at (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
+
+// Nothing that an engine sends on another connection, or sent before an attempt was written, is evidence
+// that the attempt has arrived.
+func TestEvidenceIsOfTheAttemptsOwnConnection(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		arrival Arrival
+		want    bool
+	}{
+		{"none", Arrival{}, false},
+		{"on its own connection", Arrival{Connection: 7, At: 10}, true},
+		{"on its own connection, later", Arrival{Connection: 7, At: 11}, true},
+		{"on its own connection, before it was written", Arrival{Connection: 7, At: 9}, false},
+		{"on another connection", Arrival{Connection: 8, At: 11}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := Flight{Engine: "w", Connection: 7, WrittenAt: 10, Arrival: c.arrival}
+			if got := f.Confirmed(); got != c.want {
+				t.Errorf("confirmed %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// The answer to a prefill may be lost: its engine is sent a release each time when state may have been
+// held for its limit, though nothing is known to be held. Its state, once known, is not released so.
+func TestUnansweredPrefillIsReleased(t *testing.T) {
+	l := New(limits)
+	l.SetFlights(prefillSent, 1)
+	for _, at := range []Time{1 + limits.HeldStateLimit, 1 + 2*limits.HeldStateLimit} {
+		if l.Expired(at - 1) {
+			t.Errorf("expired before %v", at)
 		}
+		if !l.Expired(at) {
+			t.Fatalf("not expired at %v", at)
+		}
+		l.Expire(at)
 		if diff := cmp.Diff([]string{"r"}, l.ReleasesDue(at)); diff != "" {
-			t.Errorf("%v: released at (-want +got):\n%s", c.state, diff)
+			t.Errorf("released at %v (-want +got):\n%s", at, diff)
+		}
+		if at > 1+limits.HeldStateLimit {
+			break // its release is in flight when the answer comes after all
+		}
+		l.ReleaseEnded("r", true, at)
+	}
+	now := 1 + 2*limits.HeldStateLimit + ms
+	l.SetFlights(noFlights, now)
+	l.PrefillCompleted("r", now)
+	if diff := cmp.Diff([]string{"r"}, l.ReleasesToCancel(now)); diff != "" {
+		t.Errorf("cancelled (-want +got):\n%s", diff)
+	}
+}
+
+// With a limit of no time at all state waits for as long as an attempt needs, with one of hours for hours.
+func TestLimitsOfAnyLength(t *testing.T) {
+	for limit, want := range map[time.Duration]time.Duration{0: minStateWait, ms: minStateWait, time.Hour: time.Hour} {
+		l := New(Limits{HeldStateLimit: limit, HeldStateSlack: 350 * ms})
+		l.SetFlights(noFlights, 1)
+		l.PrefillCompleted("r", 1)
+		if at, ok := l.NextUpdate(); !ok || at != 1+want {
+			t.Errorf("a limit of %v: expires at %v, want %v", limit, at, 1+want)
 		}
 	}
 }
@@ -99,16 +173,16 @@
 // A release in flight is cancelled once an attempt has been written: it could meet the end of the
 // next prefill, whose state it would free.
 func TestReleaseDoesNotMeetNextRead(t *testing.T) {
-	for _, state := range []AttemptState{Unconfirmed, Confirmed} {
+	for _, flights := range [][]Flight{sent, answered} {
 		l := New(limits)
 		l.AttemptLost("r", true)
 		l.ReleasesDue(1)
 		if engines := l.ReleasesToCancel(1); len(engines) > 0 {
 			t.Errorf("cancelled at %v with nothing in flight", engines)
 		}
-		l.SetAttemptState(state, 2)
+		l.SetFlights(flights, 2)
 		if diff := cmp.Diff([]string{"r"}, l.ReleasesToCancel(2)); diff != "" {
-			t.Errorf("%v: cancelled (-want +got):\n%s", state, diff)
+			t.Errorf("%+v: cancelled (-want +got):\n%s", flights, diff)
 		}
 	}
 }
@@ -152,9 +226,13 @@
 	later       map[string]Time // when a prefill that runs on will leave its state
 	unreachable map[string]bool
 	releasing   map[string]bool
-	attempt     AttemptState
+	flights     []Flight // as the gateway knows of them
+	lost        bool     // what is in flight never arrives, or the answer to it does not
 }
 
+// out tells whether an attempt has arrived and not ended.
+func (w *world) out() bool { return len(w.flights) > 0 && !w.lost }
+
 var engines = []string{"a", "b", "c"}
 
 // pass lets time pass in small steps. Releases arrive at engines that can be reached.
@@ -172,7 +250,7 @@
 }
 
 func (w *world) act() {
-	w.ledger.SetAttemptState(w.attempt, w.now)
+	w.ledger.SetFlights(w.flights, w.now)
 	if w.ledger.Expired(w.now) {
 		w.ledger.Expire(w.now)
 	}
@@ -186,7 +264,7 @@
 	for _, e := range engines {
 		if w.releasing[e] && !w.unreachable[e] {
 			delete(w.releasing, e)
-			if w.attempt == NoAttempt || w.ledger.finished {
+			if !w.out() || w.ledger.finished {
 				delete(w.held, e)
 			}
 			w.ledger.ReleaseEnded(e, true, w.now)
@@ -198,7 +276,7 @@
 // engine that can be reached.
 func (w *world) check() {
 	for e, since := range w.held {
-		if w.attempt != NoAttempt || w.unreachable[e] {
+		if w.out() || w.unreachable[e] {
 			w.held[e] = w.now
 			continue
 		}
@@ -210,12 +288,42 @@
 
 // outcome ends the attempt in flight. The time of all that is held counts from the last outcome.
 func (w *world) outcome() {
-	w.attempt = NoAttempt
+	w.endFlights()
 	for e := range w.held {
 		w.held[e] = w.now
 	}
 }
 
+// endFlights ends what is in flight. A prefill ends without an answer.
+func (w *world) endFlights() {
+	for _, f := range w.flights {
+		if f.Prefills {
+			w.ledger.AttemptLost(f.Engine, true)
+		}
+	}
+	w.flights, w.lost = nil, false
+}
+
+// send has an attempt written. It arrives and is answered, or not yet; or it is lost, with its
+// connection, while its engine answers on another one; or it is a prefill whose answer is lost.
+func (w *world) send(e string) {
+	f := Flight{Engine: "w", Connection: 7, WrittenAt: w.now}
+	elsewhere := Arrival{Connection: 8, At: w.now}
+	lost := false
+	switch rapid.IntRange(0, 3).Draw(w.t, "what becomes of the attempt") {
+	case 0:
+	case 1:
+		f.Arrival = Arrival{Connection: f.Connection, At: w.now}
+	case 2:
+		f.Arrival, lost = elsewhere, true
+	case 3:
+		f.Engine, f.Prefills, f.Arrival, lost = e, true, elsewhere, true
+		w.held[e] = w.now
+	}
+	w.endFlights()
+	w.flights, w.lost = []Flight{f}, lost
+}
+
 // lose ends an attempt without an answer of its engine. The prefill may have ended, or run on.
 func (w *world) lose(e string) {
 	w.outcome()
@@ -241,20 +349,20 @@
 			case 1:
 				w.lose(e)
 			case 2:
-				w.attempt = rapid.SampledFrom([]AttemptState{Unconfirmed, Confirmed}).Draw(t, "attempt state")
+				w.send(e)
 			case 3:
 				w.outcome()
 			case 4:
 				w.unreachable[e] = !w.unreachable[e]
 			case 5:
-				w.attempt = NoAttempt
+				w.endFlights()
 				clear(w.held)
 				w.ledger.AnswerCompleted()
 			}
 			w.pass(time.Duration(rapid.IntRange(0, 150).Draw(t, "for, in 10 ms")) * 10 * ms)
 		}
-		w.attempt = NoAttempt
-		w.ledger.SetAttemptState(w.attempt, w.now)
+		w.endFlights()
+		w.ledger.SetFlights(w.flights, w.now)
 		w.ledger.Finish()
 		w.pass(time.Duration(rapid.IntRange(0, 1000).Draw(t, "after the end, in 10 ms")) * 10 * ms)
 		clear(w.unreachable)
--- a/decide/heldstate/releases.go
+++ b/decide/heldstate/releases.go
@@ -39,8 +39,8 @@
 	}
 	e.releasing, e.releaseForced = false, false
 	switch {
-	case delivered && !l.finished && l.attemptState != NoAttempt:
-		e.lastRelease = now // an attempt may have been waiting for the state: it may have had no effect
+	case delivered && !l.finished && l.attemptState != noAttempt:
+		e.lastAttempted = now // an attempt may have been waiting for the state
 	case delivered:
 		if e.delivered++; e.delivered == 1 {
 			e.firstDelivery = now
@@ -68,7 +68,7 @@
 // for the state until now, so that no release had an effect.
 func (l *Ledger) RepeatReleases() {
 	for _, e := range l.entries {
-		e.delivered, e.lastRelease = 0, 0
+		e.delivered, e.lastRelease, e.lastAttempted = 0, 0, 0
 	}
 }
 
@@ -76,6 +76,10 @@
 // releases.
 func (l *Ledger) DropEngine(engine string) {
 	delete(l.entries, engine)
+	if l.stateless == nil {
+		l.stateless = map[string]bool{}
+	}
+	l.stateless[engine] = true
 	if l.stateHolder == engine {
 		l.stateHolder = ""
 	}
--- a/decide/heldstate/schedule.go
+++ b/decide/heldstate/schedule.go
@@ -15,10 +15,10 @@
 	switch {
 	case l.finished || e.releaseForced:
 		return 0, true
-	case l.stateHolder != "" || l.attemptState == Confirmed:
+	case l.stateHolder != "" || l.attemptState == confirmed:
 		return 0, false
-	case l.attemptState == Unconfirmed:
-		return l.expiresAt(), true
+	case l.attemptState == unconfirmed:
+		return l.noAttemptSince + l.stateWait(), true
 	}
 	return 0, true
 }
@@ -29,11 +29,14 @@
 	if !ok || e.releasing || e.givenUp {
 		return 0, false
 	}
-	switch {
-	case e.releaseForced || e.delivered == 0 && e.lastRelease == 0:
+	if e.releaseForced {
+		return from, true
+	}
+	if e.lastAttempted > 0 {
+		from = max(from, e.lastAttempted+l.repeatInterval())
+	}
+	if e.delivered == 0 {
 		return from, true
-	case e.delivered == 0:
-		return max(from, e.lastRelease+l.repeatInterval()), true
 	}
 	at, ok = l.nextRepeat(e)
 	return max(from, at), ok
@@ -64,7 +67,7 @@
 	return at, ok
 }
 
-// NextUpdate returns when ReleasesDue, Expired or ReachCheckDue may change by time alone; false if
+// NextUpdate returns when ReleasesDue or Expired may change by time alone; false if
 // only an event changes them.
 func (l *Ledger) NextUpdate() (at Time, ok bool) {
 	consider := func(t Time) {
@@ -77,11 +80,8 @@
 			consider(t)
 		}
 	}
-	if l.expiryRuns() {
-		consider(l.expiresAt())
-	}
-	if l.needsReachCheck() {
-		consider(l.reachCheckAt())
+	if expires, runs := l.expiresAt(); runs {
+		consider(expires)
 	}
 	return at, ok
 }
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -61,8 +61,7 @@
 type Limits struct {
 	DeadlineSlack  time.Duration          // after the deadline, within which an answer still counts
 	HeldStateLimit time.Duration          // longest that state may be held with no attempt in flight
-	HeldStateSlack time.Duration          // by which it may be exceeded while a release is in transit
-	ReachTimeout   time.Duration          // of Transport.Reach
+	HeldStateSlack time.Duration          // by which it may be exceeded, by hold-ups and the release's transit
 	MaxAttempts    int                    // of one request
 	ServesAlone    func(kind string) bool // engines of this kind serve requests on their own and fetch no state; nil: all fetch
 }
--- a/internal/core/clock.go
+++ b/internal/core/clock.go
@@ -24,5 +24,8 @@
 // now returns the time on the router's clock.
 func (c clock) now() routing.Time { return time.Since(c.origin) }
 
+// of returns what the router's clock showed at a time.
+func (c clock) of(at time.Time) routing.Time { return at.Sub(c.origin) }
+
 // at returns when the router's clock shows t.
 func (c clock) at(t routing.Time) time.Time { return c.origin.Add(t) }
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -19,7 +19,6 @@
 	countGone           Counter = "gone" // clients that disconnected before their answer
 	countReleases       Counter = "releases"
 	countReleasesFailed Counter = "releases failed"
-	countEnginesChecked Counter = "engines checked"
 	countStatesExpired  Counter = "states expired"
 )
 
--- a/internal/core/counters_test.go
+++ b/internal/core/counters_test.go
@@ -10,11 +10,11 @@
 func TestCounterNames(t *testing.T) {
 	got := []Counter{
 		countOpen, countRequests, countAttempts, countDuplicates, countGone,
-		countReleases, countReleasesFailed, countEnginesChecked, countStatesExpired,
+		countReleases, countReleasesFailed, countStatesExpired,
 	}
 	got = append(append(got, statusNames[:]...), verdictNames[:]...)
 	want := []Counter{
-		"open", "requests", "attempts", "duplicate id", "gone", "releases", "releases failed", "engines checked", "states expired",
+		"open", "requests", "attempts", "duplicate id", "gone", "releases", "releases failed", "states expired",
 		"served", "read", "error", "full", "timeout", "no connect", "reset", "cancelled", "unsent",
 		"refused", "failed", "overdue", "duplicate", "serving",
 	}
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -82,14 +82,10 @@
 	t.ready.Store(ready)
 }
 
-// recordHeard records that an engine has answered just now.
+// recordHeard records that an engine has answered just now, on whichever connection. It says in which
+// order engines are tried, and nothing about any one call.
 func (t *endpointTable) recordHeard(engine string) { t.lastHeard[engine] = time.Now() }
 
-// heardSince reports whether an engine has answered after a time.
-func (t *endpointTable) heardSince(engine string, since time.Time) bool {
-	return t.lastHeard[engine].After(since)
-}
-
 func (t *endpointTable) forgetUnlisted() {
 	maps.DeleteFunc(t.lastHeard, func(name string, _ time.Time) bool {
 		_, listed := t.listed[name]
--- a/internal/core/fake_test.go
+++ b/internal/core/fake_test.go
@@ -23,9 +23,7 @@
 	lastClose     time.Time // when an attempt was closed last
 	released      []string
 	neverConnects func(a Attempt) bool // if set, tells whose engine no connection comes up to
-	// unreachable engines take no connection by which they could be checked
-	unreachable bool
-	partition   chan struct{} // if set, no engine is reached by a release before it is closed
+	partition     chan struct{}        // if set, no engine is reached by a release before it is closed
 	// releaseErr is how releases end that no partition stops
 	releaseErr  error
 	writtenLate chan struct{} // if set, the core hears that a first attempt is written once it is closed
@@ -141,8 +139,6 @@
 	return len(f.attempts), f.closed, len(f.released)
 }
 
-func (f *fakeTransport) Reach(_ Endpoint, done func(bool)) { go done(!f.unreachable) }
-
 func (f *fakeTransport) Probe(Endpoint, func(routing.Status, *routing.LoadReport)) {}
 
 func (f *fakeTransport) Subscribe() {}
--- a/internal/core/held.go
+++ b/internal/core/held.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"time"
 
 	"wellgw/decide/heldstate"
@@ -21,6 +22,7 @@
 	lastHolder         string              // the engine whose state waited when the request ended; "" for none
 	stopRelease        map[string]func()   // of the releases in flight, by engine
 	nextUpdate         time.Time           // when a timer is set for the ledger
+	flights            []heldstate.Flight  // of the latest reconciliation; reused
 	lingersAfterAnswer bool                // an attempt is kept open after the request has ended; see lingerAfterAnswer
 }
 
@@ -33,7 +35,7 @@
 func (c *Core) heldLimits(wait time.Duration) heldstate.Limits {
 	return heldstate.Limits{
 		HeldStateLimit: min(c.limits.HeldStateLimit, maxHeldStateLimit), HeldStateSlack: c.limits.HeldStateSlack,
-		ReleaseTimeout: releaseTimeout, ReachTimeout: c.limits.ReachTimeout, MaxCancelledPrefill: min(wait, maxCancelledPrefill),
+		ReleaseTimeout: releaseTimeout, MaxCancelledPrefill: min(wait, maxCancelledPrefill),
 	}
 }
 
@@ -41,9 +43,10 @@
 func (c *Core) recordHeldState(request *requestState, attempt *attemptState, r Result) {
 	ledger, engine := request.held.ledger, attempt.endpoint.Name
 	request.held.endpoints[engine] = attempt.endpoint
+	flight := c.flight(attempt)
 	switch r.Status {
 	case routing.StatusPrefilled:
-		ledger.PrefillCompleted(engine, c.clock.now())
+		ledger.PrefillCompleted(engine, cmp.Or(flight.Arrival.At, c.clock.now()))
 		c.logHeld(request, attempt)
 	case routing.StatusTimeout, routing.StatusCancelled, routing.StatusReset:
 		ledger.AttemptLost(engine, c.router.CanPrefill(attempt.endpoint.Kind))
@@ -57,8 +60,8 @@
 	case routing.StatusPrefilled, routing.StatusRejected, routing.StatusError, routing.StatusServed:
 		c.endpoints.recordHeard(engine)
 	}
-	if attempt.written && c.endpoints.heardSince(engine, attempt.write.At) {
-		ledger.AttemptConfirmedUntil(c.clock.now())
+	if attempt.written && r.Status != routing.StatusPrefilled {
+		ledger.FlightEnded(flight, c.clock.now())
 	}
 }
 
@@ -83,13 +86,10 @@
 // for what is due next.
 func (c *Core) reconcileHeldState(request *requestState) {
 	now, ledger := c.clock.now(), request.held.ledger
-	ledger.SetAttemptState(c.currentAttemptState(request), now)
+	ledger.SetFlights(c.flightsOf(request), now)
 	for _, engine := range ledger.ReleasesToCancel(now) {
 		request.held.stopRelease[engine]()
 	}
-	if ledger.ReachCheckDue(now) {
-		c.checkReach(request)
-	}
 	if ledger.Expired(now) {
 		c.expireState(request)
 	}
@@ -101,46 +101,34 @@
 	c.scheduleHeldState(request)
 }
 
-// currentAttemptState returns whether an attempt of the request is in flight, and whether its engine
-// has answered anything since that was written.
-func (c *Core) currentAttemptState(request *requestState) heldstate.AttemptState {
-	state := heldstate.NoAttempt
+// flightsOf returns the attempts of a request that are in flight. The result is valid until the next call.
+func (c *Core) flightsOf(request *requestState) []heldstate.Flight {
+	flights := request.held.flights[:0]
 	for _, attempt := range request.attempts {
-		switch {
-		case !request.inFlight(attempt):
-		case attempt.answerStarted || c.endpoints.heardSince(attempt.endpoint.Name, attempt.write.At):
-			return heldstate.Confirmed
-		default:
-			state = heldstate.Unconfirmed
+		if request.inFlight(attempt) {
+			flights = append(flights, c.flight(attempt))
 		}
 	}
-	return state
+	request.held.flights = flights
+	return flights
 }
 
-// inFlight reports whether an attempt was written and has not ended, or lingers.
-func (r *requestState) inFlight(attempt *attemptState) bool {
-	return attempt.written && (!attempt.ended || attempt == r.lingeringAttempt)
-}
-
-// checkReach checks whether the engines of the attempts in flight can be reached.
-func (c *Core) checkReach(request *requestState) {
-	for _, attempt := range request.attempts {
-		if !request.inFlight(attempt) {
-			continue
-		}
-		c.counters.increment(countEnginesChecked)
-		c.transport.Reach(attempt.endpoint, func(reached bool) {
-			if reached {
-				c.post(engineReached{request, attempt.endpoint.Name})
-			}
-		})
+// flight describes an attempt that was written. What counts as its arrival is what came on its own
+// connection alone: an engine that answers on others may never have received this one.
+func (c *Core) flight(attempt *attemptState) heldstate.Flight {
+	flight := heldstate.Flight{
+		Engine: attempt.endpoint.Name, Prefills: c.router.PrefillsOnly(attempt.endpoint.Kind),
+		Connection: attempt.write.Connection, WrittenAt: c.clock.of(attempt.write.At),
+	}
+	if first, heard := attempt.handle.FirstByte(); heard {
+		flight.Arrival = heldstate.Arrival{Connection: first.Connection, At: c.clock.of(first.At)}
 	}
+	return flight
 }
 
-// recordReached records that the engine of an attempt in flight can be reached.
-func (c *Core) recordReached(request *requestState, engine string) {
-	c.endpoints.recordHeard(engine)
-	c.markChanged(request)
+// inFlight reports whether an attempt was written and has not ended, or lingers.
+func (r *requestState) inFlight(attempt *attemptState) bool {
+	return attempt.written && (!attempt.ended || attempt == r.lingeringAttempt)
 }
 
 // expireState gives up state that has waited too long for a decode engine: an attempt whose connection
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -84,14 +84,6 @@
 
 func (m releaseEnded) handle(c *Core) { c.recordRelease(m.request, m.engine, m.err) }
 
-// engineReached tells that the engine of an attempt in flight can be reached.
-type engineReached struct {
-	request *requestState
-	engine  string
-}
-
-func (m engineReached) handle(c *Core) { c.recordReached(m.request, m.engine) }
-
 // probeAnswered brings the result of a probe.
 type probeAnswered struct {
 	engine string
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -36,7 +36,6 @@
 	out      *strings.Builder
 	attempts []*tracedAttempt
 	releases []func(error)
-	reaches  []func(bool)
 	probes   []func(routing.Status, *routing.LoadReport)
 }
 
@@ -116,10 +115,6 @@
 	return func() { tr.note("stop release %d", n) }
 }
 
-func (tr *tracer) Reach(m Endpoint, done func(bool)) {
-	tr.note("reach %d: %s", add(tr, &tr.reaches, done), m.Name)
-}
-
 func (tr *tracer) Probe(m Endpoint, done func(routing.Status, *routing.LoadReport)) {
 	tr.note("probe %d: %s", add(tr, &tr.probes, done), m.Name)
 }
@@ -383,14 +378,11 @@
 			tr.released(0, nil)
 		}
 	}},
-	{"an engine is checked", nil, func(tr *tracer) {
+	{"an attempt is unconfirmed at the limit", nil, func(tr *tracer) {
 		ticket := tr.submit("once", "a", time.Minute)
 		tr.read(0)
 		tr.written(1)
 		tr.sleep(460 * time.Millisecond)
-		for _, done := range all(tr, &tr.reaches) {
-			done(true)
-		}
 		tr.sleep(2 * time.Second)
 		tr.note("may run: %v", ticket.MayHaveRun(tr.t.Context()))
 		tr.first(1)
@@ -521,7 +513,7 @@
 		t.Fatal(err)
 	}
 	tr := &tracer{t: t, out: out, start: time.Now()}
-	tr.core = New(router, tr, tr, Limits{DeadlineSlack: 50 * time.Millisecond, HeldStateLimit: set.HeldStateLimit, HeldStateSlack: 100 * time.Millisecond, ReachTimeout: 100 * time.Millisecond, MaxAttempts: set.MaxAttempts},
+	tr.core = New(router, tr, tr, Limits{DeadlineSlack: 50 * time.Millisecond, HeldStateLimit: set.HeldStateLimit, HeldStateSlack: 100 * time.Millisecond, MaxAttempts: set.MaxAttempts},
 		slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelDebug})), invariant.New())
 	tr.core.Observe(tr)
 	go tr.core.Run(t.Context())
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -95,9 +95,6 @@
 	// has passed or stop is called. done is called once, with nil if the engine answered, and with
 	// ErrNoRelease if engines of its kind hold no state.
 	Release(r Release, done func(error)) (stop func())
-	// Reach checks whether an engine can be reached, with a new connection, as an idle one does not
-	// show a network partition. An engine that refuses the connection counts as reached.
-	Reach(at Endpoint, done func(reached bool))
 	// Probe requests a load report from an engine.
 	Probe(at Endpoint, done func(routing.Status, *routing.LoadReport))
 }
--- a/internal/upstream/held_test.go
+++ b/internal/upstream/held_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -110,15 +111,36 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	figures := core.Limits{DeadlineSlack: 16 * time.Millisecond, HeldStateLimit: set.HeldStateLimit, MaxAttempts: set.MaxAttempts, ReachTimeout: connect}
+	figures := core.Limits{DeadlineSlack: 16 * time.Millisecond, HeldStateLimit: set.HeldStateLimit, MaxAttempts: set.MaxAttempts}
 	engine := upstream.NewClient(pool, func(string) upstream.Dialect { return platform.Dialect{} })
-	s.core = core.New(router, engine, still{}, figures, slog.New(slog.DiscardHandler), invariant.New())
+	s.core = core.New(router, engine, still{}, figures, s.log(t), invariant.New())
 	go s.core.Run(process)
 	s.core.UpdateEndpoints(routing.EngineListSnapshot, s.members)
 	s.fleet.step("settings %+v, rules %+v, clients resume: %v", set, s.fleet.rules, s.resumes)
 	return s
 }
 
+// log returns the core's log, which goes among the steps where one scenario is played alone.
+func (s *scenario) log(t *testing.T) *slog.Logger {
+	if number(t, "HELD_SEED") == 0 {
+		return slog.New(slog.DiscardHandler)
+	}
+	return slog.New(slog.NewTextHandler(stepWriter{s.fleet}, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
+		if len(groups) == 0 && (a.Key == slog.TimeKey || a.Key == slog.LevelKey) {
+			return slog.Attr{}
+		}
+		return a
+	}}))
+}
+
+// stepWriter makes steps of a log's lines.
+type stepWriter struct{ fleet *simFleet }
+
+func (w stepWriter) Write(line []byte) (int, error) {
+	w.fleet.step("%s", bytes.TrimSpace(line))
+	return len(line), nil
+}
+
 // kindNames are the names of the kinds of engines, by role.
 var kindNames = map[routing.Role]string{routing.RolePrefill: "r", routing.RoleDecode: "w", routing.RoleMixed: "m"}
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -146,6 +146,11 @@
 	return time.Duration(connectTimeoutFraction * float64(p.opt.ConnectTimeout))
 }
 
+// getForRelease is get with no timeout but ctx for a new connection.
+func (p *Pool) getForRelease(ctx context.Context, addr string) (*conn, error) {
+	return p.getWithTimeout(ctx, addr, 0)
+}
+
 // dialNew opens a connection without regard to idle ones, until ctx ends.
 func (p *Pool) dialNew(ctx context.Context, addr string) (*conn, error) {
 	p.mu.Lock()
--- a/internal/upstream/release.go
+++ b/internal/upstream/release.go
@@ -13,7 +13,8 @@
 // Limits of one release.
 const (
 	initialReleaseBackoff  = 50 * time.Millisecond   // between attempts; doubles
-	maxReleaseBackoff      = 250 * time.Millisecond  // largest backoff, and longest that an unanswered attempt delays the next
+	maxReleaseBackoff      = 250 * time.Millisecond  // largest backoff
+	unansweredDelay        = 60 * time.Millisecond   // longest that an unanswered attempt delays the next
 	releaseConnectTimeout  = 1200 * time.Millisecond // some connections are established late
 	releaseResponseTimeout = 300 * time.Millisecond  // for the response, once connected
 	releaseConcurrency     = 4                       // attempts in flight at one engine, over all releases
@@ -80,9 +81,11 @@
 // run makes attempts until the engine has answered, or the release ends.
 func (r *release) run() error {
 	go r.notifyAlternates()
+	take := takeConn(r.engine.pool.getForRelease)
 	for pause := initialReleaseBackoff; ; pause = min(2*pause, maxReleaseBackoff) {
 		next := make(chan struct{})
-		go r.attempt(next)
+		go r.attempt(next, take)
+		take = r.engine.pool.dialNew // pooled connections may all be lost, as the one before seems to be
 		if !r.wait(next) || !r.sleep(pause) {
 			return r.outcome()
 		}
@@ -124,19 +127,22 @@
 }
 
 // attempt sends the release once. It closes next when another attempt may begin: at its own end, or
-// after maxReleaseBackoff.
-func (r *release) attempt(next chan<- struct{}) {
+// after unansweredDelay.
+func (r *release) attempt(next chan<- struct{}, take takeConn) {
 	again := sync.OnceFunc(func() { close(next) })
 	defer again()
-	late := time.AfterFunc(maxReleaseBackoff, again)
+	late := time.AfterFunc(unansweredDelay, again)
 	defer late.Stop()
-	if r.send(r.Endpoint.Addr, r.call) == nil {
+	if r.send(r.Endpoint.Addr, r.call, take) == nil {
 		r.once.Do(func() { close(r.delivered) })
 	}
 }
 
-// send makes the call once, within a slot of the address.
-func (r *release) send(addr string, call Call) error {
+// takeConn takes or opens a connection to an address.
+type takeConn func(ctx context.Context, addr string) (*conn, error)
+
+// send makes the call once, within a slot of the address, on a connection that take returns.
+func (r *release) send(addr string, call Call, take takeConn) error {
 	turn := r.engine.acquireSlots(addr)
 	defer r.engine.dropSlots(addr)
 	select {
@@ -148,7 +154,7 @@
 	defer leave()
 	ctx, done := context.WithTimeout(r.ctx, releaseConnectTimeout)
 	defer done()
-	c, err := r.engine.pool.getWithTimeout(ctx, addr, 0)
+	c, err := take(ctx, addr)
 	if err != nil {
 		return err
 	}
@@ -181,10 +187,10 @@
 			}
 		default:
 		}
-		if n %= len(r.Alternates); underway[n].CompareAndSwap(false, true) {
+		if which := n % len(r.Alternates); underway[which].CompareAndSwap(false, true) {
 			go func() {
-				defer underway[n].Store(false)
-				r.notifyAlternate(n, answered)
+				defer underway[which].Store(false)
+				r.notifyAlternate(which, answered)
 			}()
 		}
 	}
@@ -194,7 +200,7 @@
 func (r *release) notifyAlternate(n int, answered chan<- int) {
 	m := r.Alternates[n]
 	call, given := r.engine.dialect(m.Kind).Release(r.ClientRequestID)
-	if !given || r.send(m.Addr, call) != nil {
+	if !given || r.sendTwice(m.Addr, call) != nil {
 		return
 	}
 	select {
@@ -202,3 +208,22 @@
 	default:
 	}
 }
+
+// sendTwice makes the call on a pooled connection and, if that brings no answer soon, on a new one: the
+// pooled one may be lost though its engine can be reached.
+func (r *release) sendTwice(addr string, call Call) error {
+	answered := make(chan error, 1)
+	go func() { answered <- r.send(addr, call, r.engine.pool.getForRelease) }()
+	late := time.NewTimer(unansweredDelay)
+	defer late.Stop()
+	select {
+	case err := <-answered:
+		if err == nil {
+			return nil
+		}
+	case <-late.C:
+	case <-r.ctx.Done():
+		return errStopped
+	}
+	return r.send(addr, call, r.engine.pool.dialNew)
+}
--- a/internal/upstream/simturn_test.go
+++ b/internal/upstream/simturn_test.go
@@ -34,7 +34,11 @@
 	if left := r.due.Sub(t.sent); t.told > max(left, 0)+toldSlack {
 		f.broken = append(f.broken, fmt.Sprintf("%s at %s was told %v, its client had %v left", t.id, t.engine.name, t.told, left))
 	}
-	if late := t.sent.Sub(r.left); !r.left.IsZero() && late > leftSlack {
+	slack := leftSlack
+	if f.heldUpSince(r.left) { // between the look at the client and the write, which nothing can call back
+		slack += mostHeldUp
+	}
+	if late := t.sent.Sub(r.left); !r.left.IsZero() && late > slack {
 		f.broken = append(f.broken, fmt.Sprintf("%s at %s was written %v after its client had left", t.id, t.engine.name, late))
 	}
 }
