States held: no release under a prefill, a longer drain wait, lost answers counted

The rule counts a state's time from the last outcome, and a prefill whose answer is lost has none until it is given up. Two more faults showed in the drawn test: a release in flight when a prefill's answer came let that state be given up on by the older release's age; a drain gave up on engines out of reach after four limits, 0.4 s at a limit of 0.1 s.

--- a/decide/heldstate/attempts.go
+++ b/decide/heldstate/attempts.go
@@ -14,7 +14,7 @@
 	if old := l.entries[engine]; old != nil { // an earlier prefill there may still run on
 		e.attemptLost, e.prefillMayRun = old.attemptLost, old.prefillMayRun
 		if old.releasing { // it must not free this state: see ReleasesToCancel
-			e.releasing, e.dueSince = true, old.dueSince
+			e.releasing, e.dueSince = true, answered
 		}
 	}
 	l.entries[engine] = e
@@ -26,9 +26,10 @@
 // AttemptLost records that an attempt ended without an answer: it may have left state or, where the
 // engine prefills and runs on, may leave it later.
 func (l *Ledger) AttemptLost(engine string, prefills bool) {
-	e := l.entry(engine)
+	e := l.entries[engine]
 	if e == nil {
-		return
+		e = &engineEntry{}
+		l.entries[engine] = e
 	}
 	e.attemptLost, e.delivered, e.lastRelease, e.lastAttempted = true, 0, 0, 0
 	e.prefillMayRun = e.prefillMayRun || prefills
@@ -36,20 +37,9 @@
 
 // AttemptFailed records that an engine answered an attempt with an error.
 func (l *Ledger) AttemptFailed(engine string) {
-	l.entry(engine)
-}
-
-// entry returns what is known of an engine that may hold state from now on; nil if it never does.
-func (l *Ledger) entry(engine string) *engineEntry {
-	if l.stateless[engine] {
-		return nil
-	}
-	e := l.entries[engine]
-	if e == nil {
-		e = &engineEntry{}
-		l.entries[engine] = e
+	if l.entries[engine] == nil {
+		l.entries[engine] = &engineEntry{}
 	}
-	return e
 }
 
 // AnswerStarted records that an answer has begun, so the state was fetched. Should the answer break
--- a/decide/heldstate/expiry.go
+++ b/decide/heldstate/expiry.go
@@ -13,39 +13,29 @@
 	return max(l.limits.HeldStateLimit, min(l.limits.HeldStateLimit+l.limits.HeldStateSlack/2, minStateWait))
 }
 
-// expiresAt returns when state has to be released, unless an attempt is certainly in flight by then;
-// false if none may be held.
+// expiresAt returns when the waiting state has to be released, unless an attempt is certainly in flight by
+// then; false if none waits.
 func (l *Ledger) expiresAt() (at Time, ok bool) {
-	if l.attemptState == confirmed {
+	if l.stateHolder == "" || l.attemptState == confirmed {
 		return 0, false
 	}
-	if l.stateHolder != "" {
-		return l.noAttemptSince + l.stateWait(), true
-	}
-	prefill, ok := l.unansweredPrefill()
-	return max(prefill.WrittenAt, l.noAttemptSince) + l.stateWait(), ok
+	return l.noAttemptSince + l.stateWait(), true
 }
 
-// Expired reports whether state has waited for a decode engine as long as it may, or may have.
+// Expired reports whether state has waited for a decode engine as long as it may.
 func (l *Ledger) Expired(now Time) bool {
 	at, ok := l.expiresAt()
 	return ok && now >= at
 }
 
 // Expire has the state released. Where an attempt may be in flight, one release is sent without giving
-// the state up: it has no effect if the attempt has arrived and fetched it. Where the answer to a
-// prefill may be lost, its engine is sent one as well.
+// the state up: it has no effect if the attempt has arrived and fetched it.
 func (l *Ledger) Expire(now Time) {
 	if l.attemptState == noAttempt {
 		l.stateHolder = ""
 		return
 	}
 	l.noAttemptSince = now
-	for _, f := range l.flights {
-		if f.Prefills {
-			l.entry(f.Engine)
-		}
-	}
 	for _, e := range l.entries {
 		e.releaseForced = true
 	}
--- a/decide/heldstate/flight.go
+++ b/decide/heldstate/flight.go
@@ -16,8 +16,6 @@
 // Flight is an attempt in flight: its last byte has been written and it has neither ended nor, if it was
 // cancelled and its connection is kept open, been closed.
 type Flight struct {
-	Engine     string
-	Prefills   bool // its engine holds state from the end of the prefill on, which its answer tells
 	Connection Connection
 	WrittenAt  Time
 	Arrival    Arrival // zero for none
@@ -53,9 +51,8 @@
 	return state
 }
 
-// SetFlights records the attempts of the request that are in flight now. The ledger copies them.
+// SetFlights records the attempts of the request that are in flight now.
 func (l *Ledger) SetFlights(flights []Flight, now Time) {
-	l.flights = append(l.flights[:0], flights...)
 	state := stateOf(flights)
 	if l.attemptState == confirmed && state != confirmed || l.noAttemptSince == 0 {
 		l.noAttemptSince = now
@@ -72,14 +69,3 @@
 		l.noAttemptSince = now
 	}
 }
-
-// unansweredPrefill returns the earliest prefill in flight that nothing has been heard of; false if there
-// is none. Its answer may be lost on the way, and its engine hold state since then.
-func (l *Ledger) unansweredPrefill() (earliest Flight, ok bool) {
-	for _, f := range l.flights {
-		if f.Prefills && !l.stateless[f.Engine] && !f.Confirmed() && (!ok || f.WrittenAt < earliest.WrittenAt) {
-			earliest, ok = f, true
-		}
-	}
-	return earliest, ok
-}
--- a/decide/heldstate/heldstate.go
+++ b/decide/heldstate/heldstate.go
@@ -24,8 +24,10 @@
 	// MinReleaseInterval is the least time between two releases at one engine.
 	MinReleaseInterval = 100 * time.Millisecond
 	// maxDrainWait is for how many held-state limits a draining gateway waits for an engine that is
-	// out of reach.
+	// out of reach, and minDrainWait for how long at least: network partitions last seconds, however
+	// short the limit is.
 	maxDrainWait = 4
+	minDrainWait = 2 * time.Second
 )
 
 // Limits are the durations a ledger works with. They follow from the settings.
@@ -55,10 +57,8 @@
 type Ledger struct {
 	limits         Limits
 	entries        map[string]*engineEntry
-	stateHolder    string          // the engine whose state the request continues with; "" for none
-	finished       bool            // the request has its final answer
-	flights        []Flight        // the attempts in flight
-	stateless      map[string]bool // engines that hold no state and never will
+	stateHolder    string // the engine whose state the request continues with; "" for none
+	finished       bool   // the request has its final answer
 	attemptState   attemptState
 	noAttemptSince Time // since when no attempt has certainly been in flight
 }
--- a/decide/heldstate/releases.go
+++ b/decide/heldstate/releases.go
@@ -76,10 +76,6 @@
 // releases.
 func (l *Ledger) DropEngine(engine string) {
 	delete(l.entries, engine)
-	if l.stateless == nil {
-		l.stateless = map[string]bool{}
-	}
-	l.stateless[engine] = true
 	if l.stateHolder == engine {
 		l.stateHolder = ""
 	}
@@ -103,8 +99,9 @@
 // run on and leave state when the gateway has ended. Engines that have been out of reach for
 // maxDrainWait are not waited for.
 func (l *Ledger) BlocksDrain(now Time) bool {
+	wait := max(maxDrainWait*l.limits.HeldStateLimit, minDrainWait)
 	for _, e := range l.entries {
-		undelivered := e.delivered == 0 && (e.dueSince == 0 || now < e.dueSince+maxDrainWait*l.limits.HeldStateLimit)
+		undelivered := e.delivered == 0 && (e.dueSince == 0 || now < e.dueSince+wait)
 		_, repeated := l.nextRepeat(e)
 		if !e.givenUp && (undelivered || e.delivered > 0 && repeated) {
 			return true
--- a/experiments/faultnet/faultnet.go
+++ b/experiments/faultnet/faultnet.go
@@ -29,15 +29,16 @@
 
 // Net is a set of relays. It is safe for concurrent use.
 type Net struct {
-	mu    sync.Mutex
-	rng   *rand.Rand
-	ports map[string]*Port
-	names map[netip.AddrPort]string // of who is behind the relays, by where they send from
-	rules map[pair]Rule
-	held  map[pair][][]byte
-	tap   func(from, to string, b []byte)
-	Moved uint64 // datagrams, and parts of connections, passed on
-	group sync.WaitGroup
+	mu     sync.Mutex
+	rng    *rand.Rand
+	ports  map[string]*Port
+	names  map[netip.AddrPort]string // of who is behind the relays, by where they send from
+	rules  map[pair]Rule
+	held   map[pair][][]byte
+	tap    func(from, to string, b []byte)
+	onLost func(from, to string, b []byte)
+	Moved  uint64 // datagrams, and parts of connections, passed on
+	group  sync.WaitGroup
 
 	listen   map[string]string // where processes take connections
 	doors    []net.Listener
--- a/experiments/faultnet/lost.go
+++ b/experiments/faultnet/lost.go
@@ -75,6 +75,22 @@
 	delete(n.vanished, name)
 }
 
+// TapLost has somebody told of what was sent on a lost connection, from a relay's goroutine.
+func (n *Net) TapLost(tell func(from, to string, b []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onLost = tell
+}
+
+func (n *Net) tellLost(p pair, b []byte) {
+	n.mu.Lock()
+	tell := n.onLost
+	n.mu.Unlock()
+	if tell != nil && len(b) > 0 {
+		tell(p.from, p.to, b)
+	}
+}
+
 // openLinks returns the links of a pair that are in a use and not lost yet, the oldest first. The lock is held.
 func (n *Net) openLinks(from, to string, use Use) []*link {
 	var open []*link
--- a/experiments/faultnet/stream.go
+++ b/experiments/faultnet/stream.go
@@ -120,6 +120,7 @@
 		n.mu.Unlock()
 		time.Sleep(wait)
 		if !n.passes(l, way) {
+			n.tellLost(p, buf[:size])
 			if err != nil {
 				return
 			}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -104,7 +104,6 @@
 		return
 	}
 	attempt.written, attempt.write = true, write
-	request.held.endpoints[attempt.endpoint.Name] = attempt.endpoint // a release may be due before its end
 	c.logWritten(request, attempt)
 	c.markChanged(request)
 }
--- a/internal/core/held.go
+++ b/internal/core/held.go
@@ -116,10 +116,7 @@
 // flight describes an attempt that was written. What counts as its arrival is what came on its own
 // connection alone: an engine that answers on others may never have received this one.
 func (c *Core) flight(attempt *attemptState) heldstate.Flight {
-	flight := heldstate.Flight{
-		Engine: attempt.endpoint.Name, Prefills: c.router.PrefillsOnly(attempt.endpoint.Kind),
-		Connection: attempt.write.Connection, WrittenAt: c.clock.of(attempt.write.At),
-	}
+	flight := heldstate.Flight{Connection: attempt.write.Connection, WrittenAt: c.clock.of(attempt.write.At)}
 	if first, heard := attempt.handle.FirstByte(); heard {
 		flight.Arrival = heldstate.Arrival{Connection: first.Connection, At: c.clock.of(first.At)}
 	}
--- a/internal/upstream/simturn_test.go
+++ b/internal/upstream/simturn_test.go
@@ -86,11 +86,15 @@
 }
 
 // watch follows the attempt to its end: its answer was read by the gateway, its connection
-// is closed or broken or, where that is what counts, its engine has learned of it.
+// is closed or broken or, where that is what counts, its engine has learned of it. An answer that is
+// lost with its connection ends no attempt.
 func (t *turn) watch(over chan<- struct{}) {
 	f, c := t.engine.fleet, t.conn
 	defer close(over)
 	c.until(func() bool {
+		if c.lost {
+			return c.broken || c.peer.closed
+		}
 		read := c.answered && len(c.peer.inbox) == 0
 		if f.rules.learnsLate {
 			return read || c.broken || c.told() || c.peer.lost && c.peer.closed // of which it never learns
--- a/routing/router.go
+++ b/routing/router.go
@@ -246,10 +246,4 @@
 	return k.Role == RolePrefill || k.Role == RoleMixed || k.Role == RoleDecode && r.set.DecodePrefills
 }
 
-// PrefillsOnly reports whether engines of a kind prefill prompts and leave the answer to others.
-func (r *Router) PrefillsOnly(kind string) bool {
-	k := r.kinds[kind]
-	return k != nil && k.Role == RolePrefill
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
