Soak: single connections lost, machines that vanish, partitions, zones

Change: half of the plans put relays between gateways and engines and draw connections that are lost (at rest, in use, either way), all of one engine's, a machine that vanishes and is back, and a gateway cut off from one zone; engines and gateways are in one or two zones. A read whose answer was lost counts as held from its client's answer on; a stream may break where the plan has faults of the network, as it may where reads are broken.

--- a/experiments/faultnet/faultnet.go
+++ b/experiments/faultnet/faultnet.go
@@ -44,6 +44,7 @@
 	doors    []net.Listener
 	links    map[*link]bool
 	lastLink uint64 // the number of the link that was opened last
+	severed  map[pair]bool
 	vanished map[string]bool
 	changed  *sync.Cond // a rule, or over
 	over     bool
@@ -60,7 +61,7 @@
 func New(seed uint64) *Net {
 	n := &Net{
 		rng: rand.New(rand.NewPCG(seed, 3)), ports: map[string]*Port{}, names: map[netip.AddrPort]string{},
-		rules: map[pair]Rule{}, held: map[pair][][]byte{}, listen: map[string]string{}, links: map[*link]bool{}, vanished: map[string]bool{},
+		rules: map[pair]Rule{}, held: map[pair][][]byte{}, listen: map[string]string{}, links: map[*link]bool{}, vanished: map[string]bool{}, severed: map[pair]bool{},
 	}
 	n.changed = sync.NewCond(&n.mu)
 	return n
--- a/experiments/soak/book.go
+++ b/experiments/soak/book.go
@@ -75,6 +75,8 @@
 	ID    string
 	From  time.Duration
 	Until time.Duration // fetched or released; Never
+
+	AnswerLost bool // on its way to the gateway, whose attempt is out until it gives it up
 }
 
 // Span is a stretch of time.
--- a/experiments/soak/discovery.go
+++ b/experiments/soak/discovery.go
@@ -39,14 +39,16 @@
 	changed map[int]int64 // revision of the latest change, by place in members
 	rev     int64
 	wake    chan struct{} // closed at each change
-	drained int           // the decode engine that drains; -1 for none
-	since   time.Duration
+	// addresses are those of the relays to engines, by gateway; empty without relays
+	addresses [][]string
+	drained   int // the decode engine that drains; -1 for none
+	since     time.Duration
 }
 
 func newDiscovery(p Plan, b *Book, f *fleet) *discovery {
 	d := &discovery{plan: p, book: b, changed: map[int]int64{}, rev: 1, wake: make(chan struct{}), drained: -1}
 	for _, e := range f.all {
-		m := member{ID: fmt.Sprint("p", e.number), HostPort: e.addr, Locality: "a", Flavor: "r", Phase: "active", Size: 1}
+		m := member{ID: fmt.Sprint("p", e.number), HostPort: e.addr, Locality: p.zone(e.place), Flavor: "r", Phase: "active", Size: 1}
 		if e.decode {
 			m.ID, m.Flavor = fmt.Sprint("d", e.number), "w"
 		}
@@ -55,12 +57,16 @@
 	return d
 }
 
-// list returns what changed after a revision; all of it for a negative one.
-func (d *discovery) list(after int64) (discoveryList, <-chan struct{}) {
+// list returns what changed after a revision, with the addresses that a gateway is told; all of it for a
+// negative one.
+func (d *discovery) list(gateway int, after int64) (discoveryList, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := discoveryList{Revision: d.rev, Complete: after < 0, Members: []member{}}
 	for n, m := range d.members {
+		if len(d.addresses) > 0 {
+			m.HostPort = d.addresses[gateway][n]
+		}
 		if after < 0 || d.changed[n] > after {
 			l.Members = append(l.Members, m)
 		}
@@ -145,7 +151,7 @@
 func (d *discovery) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, gateway int) {
 	d.silent(ctx)
 	if r.URL.Query().Get("watch") == "" {
-		l, _ := d.list(-1)
+		l, _ := d.list(gateway, -1)
 		d.told(gateway)
 		_ = json.NewEncoder(w).Encode(l)
 		return
@@ -161,7 +167,7 @@
 	}
 	for ctx.Err() == nil {
 		d.silent(ctx)
-		l, wake := d.list(after)
+		l, wake := d.list(gateway, after)
 		if after < 0 || len(l.Members) > 0 {
 			d.told(gateway)
 			if json.NewEncoder(w).Encode(l) != nil {
--- a/experiments/soak/engines.go
+++ b/experiments/soak/engines.go
@@ -28,6 +28,7 @@
 type engineServer struct {
 	fleet  *fleet
 	number int
+	place  int // in the fleet
 	decode bool
 	addr   string
 }
@@ -41,7 +42,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("engine: %w", err)
 		}
-		e := &engineServer{fleet: f, number: n, decode: n >= prefillEngines, addr: l.Addr().String()}
+		e := &engineServer{fleet: f, number: n, place: n, decode: n >= prefillEngines, addr: l.Addr().String()}
 		if e.decode {
 			e.number = n - prefillEngines
 		}
@@ -156,7 +157,7 @@
 	}
 	wait(ctx, nil, e.fleet.between(3*time.Millisecond, 50*time.Millisecond))
 	e.fleet.hold(c.id)
-	return reply(c.conn, "202 Accepted", "", `{"cached_tokens":0}`)
+	return reply(c.conn, "202 Accepted", "X-Request-Id: "+c.id+"\r\n", `{"cached_tokens":0}`)
 }
 
 // wait waits until gone is closed or for so long, and tells whether gone was not.
@@ -185,6 +186,19 @@
 	f.book.locked(func() { f.book.States = append(f.book.States, s) })
 }
 
+// answerLost records that the answer of a read is lost: what it leaves is held, and its gateway does not
+// know that it has ended.
+func (f *fleet) answerLost(id string) {
+	f.mu.Lock()
+	held := f.states[id]
+	f.mu.Unlock()
+	f.book.locked(func() {
+		for _, s := range held {
+			s.AnswerLost = true
+		}
+	})
+}
+
 // release lets go of all that is held for a request, at whatever engine.
 func (f *fleet) release(id string) bool {
 	f.mu.Lock()
--- a/experiments/soak/plan.go
+++ b/experiments/soak/plan.go
@@ -48,6 +48,8 @@
 	WatchReset time.Duration // all open watches are reset then; 0 for never
 	Silent     time.Duration
 	SilentAt   time.Duration // since when discovery is silent, for Silent
+	Zones      int           // of gateways and engines
+	Network    []NetworkStep // faults between gateways and engines
 	Faults     []Injected    // for each gateway; used with a program that can inject them
 	Steps      []Step
 }
@@ -113,8 +115,8 @@
 	for _, s := range p.Steps {
 		steps = append(steps, s.String())
 	}
-	return fmt.Sprintf("gateways %d shared %v resume %v %s deadline %v then %v attempts %d pin %v clients %d crowd %d; %s",
-		p.Gateways, p.Shared, p.Resume, p.Effect, p.Deadline, p.Retuned, p.Attempts, p.PinLimit, p.Clients, p.Crowd, strings.Join(steps, ", "))
+	return fmt.Sprintf("gateways %d zones %d network faults %d shared %v resume %v %s deadline %v then %v attempts %d pin %v clients %d crowd %d; %s",
+		p.Gateways, p.zones(), len(p.Network), p.Shared, p.Resume, p.Effect, p.Deadline, p.Retuned, p.Attempts, p.PinLimit, p.Clients, p.Crowd, strings.Join(steps, ", "))
 }
 
 // draw makes the plan of a seed. The same seed gives the same plan.
@@ -147,6 +149,7 @@
 		p.Faults = append(p.Faults, drawFaults(r))
 	}
 	p.drawSteps(r)
+	p.drawNetwork(seed)
 	return p
 }
 
--- a/experiments/soak/process.go
+++ b/experiments/soak/process.go
@@ -68,7 +68,7 @@
 func (g *gateway) settings() map[string]any {
 	micros := func(d time.Duration) int64 { return d.Microseconds() }
 	return map[string]any{
-		"az": "a", "zones": []string{"a"}, "balancers": g.plan.Gateways, "me": g.number, "kinds": []string{"r", "w"}, "tick": 4000,
+		"az": g.plan.zone(g.number), "zones": zoneNames[:g.plan.zones()], "balancers": g.plan.Gateways, "me": g.number, "kinds": []string{"r", "w"}, "tick": 4000,
 		"classes":     []any{map[string]any{"name": "order", "aim": micros(g.deadline) / 2, "hard_limit": micros(g.deadline), "effect": g.plan.Effect, "gain": 1}},
 		"family_info": map[string]any{"duty_by_kind": []string{"read", "write"}, "pin_limit": micros(g.plan.PinLimit), "tokens_by_kind": []int{200000, 200000}, "resume": g.plan.Resume},
 		"limits":      map[string]any{"send_cap": g.plan.Attempts, "cancelling": true, "conn_idle": 2_000_000, "connect_timeout": 500_000},
@@ -78,7 +78,7 @@
 
 // write writes the configuration, whole.
 func (g *gateway) write() error {
-	all, _ := g.discovery.list(-1)
+	all, _ := g.discovery.list(g.number, -1)
 	text, err := json.Marshal(map[string]any{
 		"name": fmt.Sprint("g", g.number), "listen": "127.0.0.1:0", "discovery": g.where, "control": "127.0.0.1:0", "seed": fmt.Sprintf("%x", g.plan.Seed),
 		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": g.plan.Sockets}, "settings": g.settings(), "known": all,
--- a/experiments/soak/soak.go
+++ b/experiments/soak/soak.go
@@ -167,6 +167,7 @@
 	book      *Book
 	fleet     *fleet
 	discovery *discovery
+	network   *network // nil without faults of the network
 	gateways  []*gateway
 	baseline  map[*process]int
 }
@@ -205,6 +206,11 @@
 		return nil, err
 	}
 	w.discovery = newDiscovery(p, b, w.fleet)
+	if len(p.Network) > 0 {
+		if w.network, err = newNetwork(ctx, p, w.fleet, w.discovery); err != nil {
+			return nil, err
+		}
+	}
 	for n := range p.Gateways {
 		g, err := w.newGateway(ctx, program, filepath.Join(dir, fmt.Sprint("g", n)), n)
 		if err != nil {
@@ -275,6 +281,9 @@
 		})
 	}
 	steps.Go(func() { errs <- w.steps(ctx, begun, Step.engine, w.engineStep) })
+	if w.network != nil {
+		go w.network.run(traffic, w.book, begun, w.fleet)
+	}
 	wait(ctx, nil, length)
 	steps.Wait()
 	endTraffic()
