States held: a state's time starts before a pause that may have hidden its answer

Change: the core notes its pauses; a state's time starts when its answer was read or, right after a pause, up to 0.15 s before, so that only the end's hold-up and the transit (0.2 s) are left of the slack.

--- a/decide/heldstate/attempts.go
+++ b/decide/heldstate/attempts.go
@@ -7,7 +7,7 @@
 func (l *Ledger) StateHolder() string { return l.stateHolder }
 
 // PrefillCompleted records that an engine has prefilled the prompt, and that its state waits there
-// since its answer came.
+// since its answer came, or may have come.
 func (l *Ledger) PrefillCompleted(engine string, answered Time) {
 	l.noAttemptSince = answered
 	e := &engineEntry{}
--- a/decide/heldstate/expiry.go
+++ b/decide/heldstate/expiry.go
@@ -2,15 +2,16 @@
 
 import "time"
 
-// minStateWait is for how long state waits at least, as far as half of the slack allows: with a limit
-// of a few milliseconds no attempt could fetch it in time.
-const minStateWait = 50 * time.Millisecond
+// Parts of the slack that are left for a release that is due: the process may be held up before it writes
+// that, and it has to arrive, if need be by way of another engine.
+const (
+	holdUpReserve  = 150 * time.Millisecond
+	transitReserve = 50 * time.Millisecond
+)
 
-// stateWait returns for how long state may wait for a decode engine before it is released. That is the
-// limit itself: the slack is for a process that is held up on reading the answer or on writing the
-// release, and for the release's transit.
+// stateWait returns for how long state may wait for a decode engine before it is released.
 func (l *Ledger) stateWait() time.Duration {
-	return max(l.limits.HeldStateLimit, min(l.limits.HeldStateLimit+l.limits.HeldStateSlack/2, minStateWait))
+	return l.limits.HeldStateLimit + max(0, l.limits.HeldStateSlack-holdUpReserve-transitReserve)
 }
 
 // expiresAt returns when the waiting state has to be released, unless an attempt is certainly in flight by
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	lingeringCount int             // lingering attempts of requests that are over; see keepLingering
 	pendingEvents  []routing.Event // for the router, from the actions that it asked for last
 	timers         timers
+	stalls         stallDetector
 	counters       counters
 	drainWaiters   []chan<- struct{} // closed once nothing is in hand
 }
@@ -75,14 +76,17 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.queue:
+			c.stalls.running(time.Now())
 			m.handle(c)
 			c.reconcile()
 		case <-alarm.C:
+			c.stalls.running(time.Now())
 		}
 		for m := c.timers.popDue(time.Now()); m != nil; m = c.timers.popDue(time.Now()) {
 			m.handle(c)
 			c.reconcile()
 		}
+		c.stalls.done(time.Now())
 	}
 }
 
--- a/internal/core/held.go
+++ b/internal/core/held.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"time"
 
 	"wellgw/decide/heldstate"
@@ -46,7 +45,7 @@
 	flight := c.flight(attempt)
 	switch r.Status {
 	case routing.StatusPrefilled:
-		ledger.PrefillCompleted(engine, cmp.Or(flight.Arrival.At, c.clock.now()))
+		ledger.PrefillCompleted(engine, c.answeredAt(attempt))
 		c.logHeld(request, attempt)
 	case routing.StatusTimeout, routing.StatusCancelled, routing.StatusReset:
 		ledger.AttemptLost(engine, c.router.CanPrefill(attempt.endpoint.Kind))
@@ -61,10 +60,20 @@
 		c.endpoints.recordHeard(engine)
 	}
 	if attempt.written && r.Status != routing.StatusPrefilled {
-		ledger.FlightEnded(flight, c.clock.now())
+		ledger.FlightEnded(flight, c.answeredAt(attempt))
 	}
 }
 
+// answeredAt returns when an attempt's answer may have come: the process may have been held up before it read
+// that. Without any slack for what is held there is none for hold-ups.
+func (c *Core) answeredAt(attempt *attemptState) heldstate.Time {
+	seen := time.Now()
+	if first, heard := attempt.handle.FirstByte(); heard && !attempt.answerStarted {
+		seen = first.At
+	}
+	return c.clock.of(c.stalls.earliest(seen, min(maxStall, c.limits.HeldStateSlack)))
+}
+
 // recordLatePrefill records a prefill that completed after its attempt was cancelled, while the
 // attempt's connection was still open.
 func (c *Core) recordLatePrefill(request *requestState, attempt *attemptState) {
--- /dev/null
+++ b/internal/core/stall.go
@@ -0,0 +1,40 @@
+package core
+
+import "time"
+
+// maxStall is for how long the process may be held up, by a busy machine or a stop signal, between what
+// happens and its own clock. A longer pause of the core was idleness.
+const maxStall = 150 * time.Millisecond
+
+// minStall is the shortest pause that is noted: the core runs more often than that while it is busy.
+const minStall = 2 * time.Millisecond
+
+// stallDetector notes the latest pause of the core's goroutine. In a pause the core was idle, or the process
+// was held up; which of the two can't be told, so that what is seen right after it may be as old as its
+// begin. It is owned by the core's goroutine.
+type stallDetector struct {
+	lastRun  time.Time // when the goroutine ended its latest round
+	from, to time.Time // of the latest pause
+}
+
+// running records that the core's goroutine begins a round.
+func (d *stallDetector) running(now time.Time) {
+	if now.Sub(d.lastRun) >= minStall {
+		d.from, d.to = d.lastRun, now
+	}
+}
+
+// done records that the core's goroutine ends a round.
+func (d *stallDetector) done(now time.Time) { d.lastRun = now }
+
+// earliest returns since when something may have been waiting that was seen at a time: right after a pause
+// since the pause began, but no longer than most.
+func (d *stallDetector) earliest(seen time.Time, most time.Duration) time.Time {
+	if seen.Before(d.from) || seen.After(d.to.Add(minStall)) {
+		return seen
+	}
+	if longest := seen.Add(-most); longest.After(d.from) {
+		return longest
+	}
+	return d.from
+}
