--- a/internal/upstream/release.go
+++ b/internal/upstream/release.go
@@ -17,7 +17,8 @@
 	unansweredDelay        = 60 * time.Millisecond   // longest that an unanswered attempt delays the next
 	releaseConnectTimeout  = 1200 * time.Millisecond // some connections are established late
 	releaseResponseTimeout = 300 * time.Millisecond  // for the response, once connected
-	releaseConcurrency     = 4                       // attempts in flight at one engine, over all releases
+	releaseConcurrency     = 4                       // attempts that begin at one engine within slotTimeout, over all releases
+	slotTimeout            = 250 * time.Millisecond  // for which a connection that does not come up keeps others waiting
 	alternateInterval      = 30 * time.Millisecond   // from one alternate to the next: longer than a round trip
 )
 
@@ -152,6 +153,7 @@
 	}
 	leave := sync.OnceFunc(func() { <-turn })
 	defer leave()
+	defer time.AfterFunc(slotTimeout, leave).Stop()
 	ctx, done := context.WithTimeout(r.ctx, releaseConnectTimeout)
 	defer done()
 	c, err := take(ctx, addr)
