--- a/experiments/soak/plan.go
+++ b/experiments/soak/plan.go
@@ -63,7 +63,7 @@
 	Break   float64        `json:"break"`
 	Files   []InjectedSpan `json:"files,omitempty"`
 	Steps   []InjectedStep `json:"steps,omitempty"`
-	Kill    int            `json:"kill,omitempty"` // the process is killed in the middle of this write of a file, once; 0 for none
+	Kill    int            `json:"kill"` // the process is killed in the middle of this write of a file, once; 0 for none
 }
 
 // InjectedSpan is a stretch of time, in milliseconds, in which files fail.
