Review case 3: of two bans at one moment during an upgrade one is lost after its yes

Cause: each process reads the shared file of ejections, adds its own change and replaces the file, with no lock between the two processes. The later rename drops the other ban, and both processes then follow the file.

Change: a case with its claim, its test and stand-ins for the platform. Nothing of the gateway is changed.

--- a/review/standins/case3/main.go
+++ b/review/standins/case3/main.go
@@ -1,122 +1,193 @@
-// Command case3 asks for answers of two choices from engines that write one choice after the other, and whose
-// connections are reset now and then after the first choice. A stream that is not whole must not be ended as
-// though it were.
+// Command case3 takes engines out by hand while a new version starts: at one moment one engine at the old
+// process, and another at the new one. An engine that is out gets nothing new.
 package main
 
 import (
 	"fmt"
-	"io"
-	"math/rand/v2"
-	"regexp"
+	"net"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"review/lab"
 )
 
 const (
-	seed       = 1
-	requests   = 60
-	resetEvery = 3 // one answer in so many is reset between its choices
-	tokenTime  = 15 * time.Millisecond
+	readers, writers = 6, 7
+	pairs            = 3 // of calls at one moment, a reader at one process and a writer at the other
+	pairInterval     = 700 * time.Millisecond
+	grace            = 2*time.Second + 50*time.Millisecond // rules.drain_grace, with the protocol's slack
+	watch            = 6 * time.Second                     // after the last call
+	clients          = 6
+	think            = 180 * time.Millisecond
 )
 
-var marker = regexp.MustCompile(`mark-[0-9]+`)
-
 func main() { lab.Main(run) }
 
+type bans struct {
+	mu    sync.Mutex
+	since map[string]time.Time // engine: when the gateway said yes
+	late  map[string]int       // engine: requests that began to arrive after the grace
+	work  map[string]int
+}
+
 func run(c *lab.Case) int {
-	var mu sync.Mutex
-	random := rand.New(rand.NewPCG(seed, 3))
-	cut, runs := map[string]bool{}, map[string]int{}
-	engine := func(name string) (*lab.Engine, error) {
-		return c.StartEngine(name, func(x *lab.Exchange) bool {
-			mark := marker.FindString(x.Text)
-			mu.Lock()
-			runs[mark]++
-			reset := c.Trouble && random.IntN(resetEvery) == 0
-			cut[mark] = cut[mark] || reset
-			mu.Unlock()
-			c.Log("engine %s: runs %s with %d choices, reset after the first: %v", name, mark, x.N, reset)
-			parts := []string{lab.StreamHead}
-			for i := range x.N {
-				for _, word := range []string{mark, " choice", fmt.Sprint(" ", i)} {
-					parts = append(parts, lab.Event(choice(x.Path, i, word, "null")))
-				}
-				parts = append(parts, lab.Event(choice(x.Path, i, "", `"stop"`)))
-				if reset && i == 0 {
-					break
-				}
-			}
-			for _, p := range parts {
-				if _, err := io.WriteString(x.Conn, p); err != nil {
-					return false
-				}
-				time.Sleep(tokenTime)
-			}
-			if reset {
-				lab.Reset(x.Conn)
-				return false
+	b := &bans{since: map[string]time.Time{}, late: map[string]int{}, work: map[string]int{}}
+	fleet := lab.NewFleet()
+	var members []lab.Member
+	for i := range readers + writers {
+		name, kind := fmt.Sprint("s-", i), "prompt"
+		if i >= readers {
+			kind = "answer"
+		}
+		e, err := c.StartEngine(name, func(x *lab.Exchange) bool {
+			b.arrived(c, name, x)
+			if kind == "prompt" {
+				return fleet.Read(x, 20*time.Millisecond)
 			}
-			_, err := io.WriteString(x.Conn, lab.Event(`{"choices":[],"usage":{"prompt_tokens":12,"completion_tokens":6}}`)+lab.Event("[DONE]")+lab.LastChunk)
-			return err == nil
+			return fleet.Write(x, 8, 10*time.Millisecond)
 		})
+		if err != nil {
+			c.Log("%v", err)
+			return lab.CouldNot
+		}
+		members = append(members, lab.Member{ID: name, HostPort: e.Addr, Locality: "ikeja", Flavor: kind, Cell: 1 + i%2, Phase: "active", Size: 1})
 	}
-	one, err := engine("one")
+	d, err := c.StartDiscovery(members)
 	if err != nil {
 		c.Log("%v", err)
 		return lab.CouldNot
 	}
-	two, err := engine("two")
+	socket, file, err := sharedSocket()
 	if err != nil {
 		c.Log("%v", err)
 		return lab.CouldNot
 	}
-	g, err := c.StartGateway("gateway", lab.Operator([3]string{"one", one.Addr, "openai"}, [3]string{"two", two.Addr, "openai"}))
-	if err != nil || !g.WaitHealthy(5*time.Second) {
-		c.Log("no gateway: %v", err)
+	defer socket.Close()
+	address := socket.Addr().String()
+	start := func(name string) (*lab.Gateway, string, error) {
+		control, err := freeAddress()
+		if err != nil {
+			return nil, "", err
+		}
+		g, err := c.StartPlatformGateway(name, lab.PlatformConfig("n0", address, d), []string{"EDGE_NAME=n0", "EDGE_LISTEN=" + address, "EDGE_DISCOVERY=" + d.Addr, "EDGE_CONTROL=" + control}, file)
+		if err != nil {
+			return nil, "", err
+		}
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if strings.HasPrefix(lab.Control(control, "status"), "YES") {
+				c.Log("%s: says yes to status at %s", name, control)
+				return g, control, nil
+			}
+		}
+		return nil, "", fmt.Errorf("%s does not say yes", name)
+	}
+	old, oldControl, err := start("old process")
+	if err != nil {
+		c.Log("%v", err)
 		return lab.CouldNot
 	}
-	client, whole, broken, errors := lab.NewClient(), 0, 0, 0
-	for n := range requests {
-		mark := fmt.Sprint("mark-", n)
-		model := []string{"parts-assistant", "order-assistant"}[n%2]
-		stream := n%4 < 2
-		path, body := "/v1/chat/completions", fmt.Sprintf(`{"model":%q,"stream":%v,"n":2,"max_tokens":50,"messages":[{"role":"user","content":"%s"}]}`, model, stream, mark)
-		if n%3 == 0 {
-			path, body = "/v1/completions", fmt.Sprintf(`{"model":%q,"stream":%v,"max_tokens":50,"prompt":["%s","the same"]}`, model, stream, mark)
-		}
-		a := client.Post(g.Addr, path, "key-counter", body)
-		first, second := strings.Contains(a.Body, `"index":0`), strings.Contains(a.Body, `"index":1`)
-		ended := a.Status == 200 && a.Whole && (!stream || strings.Contains(a.Body, "data: [DONE]"))
-		mu.Lock()
-		c.Log("client: asked %s %s for two choices, %s, stream %v (reset %v, run %d times): status %d, first choice %v, second choice %v, ended in good order %v (%v)", path, model, mark, stream, cut[mark], runs[mark], a.Status, first, second, ended, a.Err)
-		mu.Unlock()
-		switch {
-		case ended && first && second:
-			whole++
-		case ended:
-			broken++
-			c.Log("NOT WHOLE, yet ended in good order: %s", strings.ReplaceAll(a.Body, "\n", "\\n"))
-		default:
-			errors++
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	served := 0
+	for i := range clients {
+		group.Go(func() {
+			client := lab.NewClient()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(think):
+				}
+				id := fmt.Sprintf("%04x%08x", i, n)
+				a := client.Post(address, "/v1/chat/completions", "", `{"model":"chat","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"a bow shackle"}]}`,
+					lab.PlatformHeaders(id, []string{"part-lookup", "place-order"}[n%2], fmt.Sprint("talk-", i, "-", n), 4*time.Second)...)
+				b.mu.Lock()
+				if a.Status == 200 && a.Whole {
+					served++
+				} else {
+					c.Log("client: request %s got status %d (%v)", id, a.Status, a.Err)
+				}
+				b.mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	newControl := oldControl
+	if c.Trouble {
+		if _, newControl, err = start("new process"); err != nil {
+			c.Log("%v", err)
+			return lab.CouldNot
 		}
 	}
-	c.Log("answers that are whole: %d; not whole, yet ended in good order: %d; ended as failed or refused: %d", whole, broken, errors)
+	yes := time.Now()
+	for p := range pairs {
+		var calls sync.WaitGroup
+		calls.Go(func() { b.takeOut(c, oldControl, members[p].ID) })
+		calls.Go(func() { b.takeOut(c, newControl, members[readers+p].ID) })
+		calls.Wait()
+		time.Sleep(pairInterval)
+	}
+	if c.Trouble {
+		time.Sleep(time.Until(yes.Add(4 * time.Second)))
+		old.Signal(syscall.SIGTERM)
+		c.Log("SIGTERM to the old process")
+	}
+	time.Sleep(watch)
+	close(stop)
+	group.Wait()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.Log("requests served: %d; requests by engine: %v; engines out: %d", served, b.work, len(b.since))
+	c.Log("requests that began over the grace after the yes, by engine: %v", b.late)
 	switch {
-	case whole == 0:
+	case served < 50 || len(b.since) < 2*pairs:
 		return lab.CouldNot
-	case broken > 0:
+	case len(b.late) > 0:
 		return lab.Broken
 	}
 	return lab.Held
 }
 
-// choice returns the data of an event with a part of one choice.
-func choice(path string, index int, text, finish string) string {
-	if path == "/v1/completions" {
-		return fmt.Sprintf(`{"choices":[{"index":%d,"text":%s,"finish_reason":%s}]}`, index, lab.Quote(text), finish)
+// arrived records a request that has arrived at an engine.
+func (b *bans) arrived(c *lab.Case, engine string, x *lab.Exchange) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.work[engine]++
+	if since, out := b.since[engine]; out && x.Began.Sub(since) > grace {
+		b.late[engine]++
+		c.Log("NEW WORK: request %s at %s, %v after the yes to its maint-on", x.ID, engine, x.Began.Sub(since).Round(time.Millisecond))
+	}
+}
+
+func (b *bans) takeOut(c *lab.Case, control, engine string) {
+	reply := lab.Control(control, "maint-on "+engine)
+	c.Log("operator: maint-on %s at %s: %s", engine, control, reply)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if strings.HasPrefix(reply, "YES") {
+		b.since[engine] = time.Now()
+	}
+}
+
+// sharedSocket opens the clients' socket, which the platform holds.
+func sharedSocket() (net.Listener, *os.File, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	file, err := l.(*net.TCPListener).File()
+	return l, file, err
+}
+
+// freeAddress returns an address whose port is free.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
 	}
-	return fmt.Sprintf(`{"choices":[{"index":%d,"delta":{"content":%s},"finish_reason":%s}]}`, index, lab.Quote(text), finish)
+	defer l.Close()
+	return l.Addr().String(), nil
 }
--- a/review/standins/lab/lab.go
+++ b/review/standins/lab/lab.go
@@ -128,22 +128,48 @@
 
 // StartGateway starts the gateway with an operator's file and waits until it serves.
 func (c *Case) StartGateway(name string, operator map[string]any) (*Gateway, error) {
-	command, err := c.runCommand()
+	file, err := c.writeJSON(name, operator)
 	if err != nil {
 		return nil, err
 	}
-	raw, err := json.MarshalIndent(operator, "", "  ")
+	return c.start(name, " --operator "+file, nil, nil)
+}
+
+// StartPlatformGateway starts the gateway with the platform's configuration and these variables, and waits
+// until it serves. The socket, if there is one, is the clients' and becomes descriptor 7.
+func (c *Case) StartPlatformGateway(name string, config map[string]any, env []string, socket *os.File) (*Gateway, error) {
+	file, err := c.writeJSON(name, config)
 	if err != nil {
 		return nil, err
 	}
-	file := filepath.Join(c.Dir, name+".json")
-	if err := os.WriteFile(file, raw, 0o600); err != nil {
+	env = append([]string{"EDGE_CONFIG=" + file}, env...)
+	var files []*os.File
+	if socket != nil {
+		env = append(env, "EDGE_SOCKET_FD=7")
+		files = []*os.File{nil, nil, nil, nil, socket}
+	}
+	return c.start(name, "", env, files)
+}
+
+func (c *Case) writeJSON(name string, content any) (path string, err error) {
+	raw, err := json.MarshalIndent(content, "", "  ")
+	if err != nil {
+		return "", err
+	}
+	path = filepath.Join(c.Dir, name+".json")
+	return path, os.WriteFile(path, raw, 0o600)
+}
+
+// start starts the gateway with the deploy file's command and waits until it logs that it serves.
+func (c *Case) start(name, args string, env []string, files []*os.File) (*Gateway, error) {
+	command, err := c.runCommand()
+	if err != nil {
 		return nil, err
 	}
 	g := &Gateway{Name: name, ended: make(chan struct{})}
-	g.cmd = exec.Command("/bin/sh", "-c", command+" --operator "+file)
-	g.cmd.Dir = c.Root
-	g.cmd.Env = append(os.Environ(), "TMPDIR="+c.Dir)
+	g.cmd = exec.Command("/bin/sh", "-c", command+args)
+	g.cmd.Dir, g.cmd.ExtraFiles = c.Root, files
+	g.cmd.Env = append(append(os.Environ(), "TMPDIR="+c.Dir), env...)
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	stderr, err := g.cmd.StderrPipe()
 	if err != nil {
@@ -155,7 +181,7 @@
 	c.mu.Lock()
 	c.gateways = append(c.gateways, g)
 	c.mu.Unlock()
-	c.Log("%s: started, process %d: %s --operator FILE", name, g.cmd.Process.Pid, command)
+	c.Log("%s: started, process %d: %s", name, g.cmd.Process.Pid, command)
 	serving := make(chan string, 1)
 	go g.read(stderr, serving)
 	select {
@@ -180,7 +206,10 @@
 		g.mu.Unlock()
 		var l struct{ Message, Listen string }
 		if json.Unmarshal(lines.Bytes(), &l) == nil && l.Message == "serving" {
-			serving <- l.Listen
+			select {
+			case serving <- l.Listen:
+			default:
+			}
 		}
 	}
 	g.err = g.cmd.Wait()
@@ -234,12 +263,13 @@
 
 // Exchange is a request that has arrived whole at an engine.
 type Exchange struct {
-	Conn net.Conn
-	ID   string // X-Request-Id
-	Path string
-	Body []byte
-	Text string // the text of the last message, or the prompts
-	N    int    // choices asked for
+	Conn  net.Conn
+	Began time.Time // when its first byte had arrived
+	ID    string    // X-Request-Id
+	Path  string
+	Body  []byte
+	Text  string // the text of the last message, or the prompts
+	N     int    // choices asked for
 }
 
 // Engine is a model server on loopback. Serve answers one request; if it returns false, the connection is
@@ -294,6 +324,10 @@
 	}()
 	r := bufio.NewReader(nc)
 	for {
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		began := time.Now()
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -312,14 +346,14 @@
 			}
 			continue
 		}
-		if !e.serve(newExchange(nc, req, body)) {
+		if !e.serve(newExchange(nc, began, req, body)) {
 			return
 		}
 	}
 }
 
-func newExchange(nc net.Conn, req *http.Request, body []byte) *Exchange {
-	x := &Exchange{Conn: nc, ID: req.Header.Get("X-Request-Id"), Path: req.URL.Path, Body: body, N: 1}
+func newExchange(nc net.Conn, began time.Time, req *http.Request, body []byte) *Exchange {
+	x := &Exchange{Conn: nc, Began: began, ID: req.Header.Get("X-Request-Id"), Path: req.URL.Path, Body: body, N: 1}
 	var b struct {
 		N        int
 		Prompt   any
