--- a/review/standins/case2/main.go
+++ b/review/standins/case2/main.go
@@ -1,6 +1,6 @@
-// Command case2 has a client place orders under idempotency keys. The gateway is killed while the order is at
-// its engine, started again, and restarted once more in a planned way (SIGTERM) before the client's retry comes.
-// No order may run twice.
+// Command case2 has a client place orders under idempotency keys. The gateway is killed when the first event of
+// the order's stream has reached the client, started again, and restarted once more in a planned way (SIGTERM)
+// before the client's retry comes. No order may run twice.
 package main
 
 import (
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"regexp"
 	"strings"
 	"sync"
@@ -31,7 +32,6 @@
 func run(c *lab.Case) int {
 	var mu sync.Mutex
 	runs := map[string]int{}
-	arrived := make(chan string, 16)
 	engine, err := c.StartEngine("one", func(x *lab.Exchange) bool {
 		id := order.FindString(x.Text)
 		mu.Lock()
@@ -39,13 +39,15 @@
 		n := runs[id]
 		mu.Unlock()
 		c.Log("engine one: runs %s, run number %d (request %s)", id, n, x.ID)
-		arrived <- id
+		if _, err := io.WriteString(x.Conn, lab.StreamHead+
+			lab.Event(`{"choices":[{"index":0,"delta":{"content":`+lab.Quote("invoice for "+id)+`},"finish_reason":null}]}`)); err != nil {
+			return false
+		}
 		time.Sleep(orderTime)
-		_, err := io.WriteString(x.Conn, lab.StreamHead+
-			lab.Event(`{"choices":[{"index":0,"delta":{"content":`+lab.Quote("invoice for "+id)+`},"finish_reason":null}]}`)+
+		_, err := io.WriteString(x.Conn,
 			lab.Event(`{"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`)+
-			lab.Event(`{"choices":[],"usage":{"prompt_tokens":12,"completion_tokens":6}}`)+
-			lab.Event("[DONE]")+lab.LastChunk)
+				lab.Event(`{"choices":[],"usage":{"prompt_tokens":12,"completion_tokens":6}}`)+
+				lab.Event("[DONE]")+lab.LastChunk)
 		return err == nil
 	})
 	if err != nil {
@@ -68,15 +70,15 @@
 	twice := 0
 	for round := range rounds {
 		id := fmt.Sprint("order-", round)
-		first := make(chan lab.Answer, 1)
-		go func() { first <- place(c, address, id, 0) }()
+		begun, ended := make(chan struct{}), make(chan bool, 1)
+		go func() { ended <- place(c, address, id, 0, begun) }()
 		select {
-		case <-arrived:
-		case a := <-first:
-			c.Log("%s did not reach the engine: status %d, %v", id, a.Status, a.Err)
+		case <-begun:
+		case <-ended:
+			c.Log("the stream of %s did not begin", id)
 			return lab.CouldNot
 		case <-time.After(5 * time.Second):
-			c.Log("%s did not reach the engine", id)
+			c.Log("the stream of %s did not begin", id)
 			return lab.CouldNot
 		}
 		if c.Trouble {
@@ -96,9 +98,9 @@
 				return lab.CouldNot
 			}
 		}
-		<-first
+		<-ended
 		time.Sleep(retryWait)
-		place(c, address, id, 1)
+		place(c, address, id, 1, make(chan struct{}))
 		mu.Lock()
 		n := runs[id]
 		mu.Unlock()
@@ -106,9 +108,6 @@
 		if n > 1 {
 			twice++
 		}
-		for len(arrived) > 0 {
-			<-arrived
-		}
 	}
 	c.Log("orders that ran twice: %d of %d", twice, rounds)
 	if twice > 0 {
@@ -117,14 +116,40 @@
 	return lab.Held
 }
 
-// place sends an order, as its client's retry number retries, and records the answer.
-func place(c *lab.Case, address, id string, retries int) lab.Answer {
+// place sends an order, as its client's retry number retries, closes begun when the first byte of a stream has
+// arrived, and records the answer. It reports whether the answer ended in good order.
+func place(c *lab.Case, address, id string, retries int, begun chan<- struct{}) bool {
 	c.Log("client: places %s under the key key-%s, retry count %d", id, id, retries)
-	a := lab.NewClient().Post(address, "/v1/chat/completions", "key-counter",
-		fmt.Sprintf(`{"model":"order-assistant","max_tokens":50,"messages":[{"role":"user","content":"place %s"}]}`, id),
-		[2]string{"Idempotency-Key", "key-" + id}, [2]string{"X-Stainless-Retry-Count", fmt.Sprint(retries)})
-	c.Log("client: %s, retry count %d: status %d, %s (%v)", id, retries, a.Status, strings.TrimSpace(a.Body), a.Err)
-	return a
+	body := fmt.Sprintf(`{"model":"order-assistant","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"place %s"}]}`, id)
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	req.GetBody = nil // the client must not send a request again on its own
+	for _, h := range [][2]string{
+		{"Authorization", "Bearer key-counter"}, {"Content-Type", "application/json"},
+		{"Idempotency-Key", "key-" + id}, {"X-Stainless-Retry-Count", fmt.Sprint(retries)},
+	} {
+		req.Header.Set(h[0], h[1])
+	}
+	client := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		c.Log("client: %s, retry count %d: %v", id, retries, err)
+		return false
+	}
+	defer resp.Body.Close()
+	first := make([]byte, 1)
+	n, err := io.ReadFull(resp.Body, first)
+	if n == 1 && resp.StatusCode == http.StatusOK {
+		close(begun)
+	}
+	rest := []byte(nil)
+	if err == nil {
+		rest, err = io.ReadAll(resp.Body)
+	}
+	c.Log("client: %s, retry count %d: status %d, %s (%v)", id, retries, resp.StatusCode, strings.ReplaceAll(string(first[:n])+string(rest), "\n", "\\n"), err)
+	return err == nil && resp.StatusCode == http.StatusOK
 }
 
 // restart waits for the end of a process and starts the next one.
