--- a/review/testdata/standins/lab/lab.go
+++ b/review/testdata/standins/lab/lab.go
@@ -40,6 +40,7 @@
 	started  time.Time
 	gateways []*Gateway
 	engines  []*Engine
+	ended    bool // no further process is started
 }
 
 // Main runs a case and exits with its code.
@@ -91,6 +92,7 @@
 
 func (c *Case) stopAll() {
 	c.mu.Lock()
+	c.ended = true
 	gateways, engines := c.gateways, c.engines
 	c.mu.Unlock()
 	for _, g := range gateways {
@@ -175,12 +177,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := g.cmd.Start(); err != nil {
+	if err := c.startProcess(g); err != nil {
 		return nil, err
 	}
-	c.mu.Lock()
-	c.gateways = append(c.gateways, g)
-	c.mu.Unlock()
 	c.Log("%s: started, process %d: %s", name, g.cmd.Process.Pid, command)
 	serving := make(chan string, 1)
 	go g.read(stderr, serving)
@@ -196,6 +195,20 @@
 	}
 }
 
+// startProcess starts a gateway's process, unless the run has ended.
+func (c *Case) startProcess(g *Gateway) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return errors.New("the run has ended")
+	}
+	if err := g.cmd.Start(); err != nil {
+		return err
+	}
+	c.gateways = append(c.gateways, g)
+	return nil
+}
+
 func (g *Gateway) read(stderr io.Reader, serving chan<- string) {
 	defer close(g.ended)
 	lines := bufio.NewScanner(stderr)
