Review case 10: two prompts of which one is answered count as complete too

Change: the case sends a completion with two prompts as well, and cannot pass on errors without the break.

--- a/review/standins-2/testdata/case10/main.go
+++ b/review/standins-2/testdata/case10/main.go
@@ -1,4 +1,4 @@
-// Case10: an order with two choices whose stream breaks after the first choice.
+// Case10: orders with two choices, or two prompts, whose streams break after the first choice.
 package main
 
 import (
@@ -17,16 +17,20 @@
 	var engine *lab.ChatEngine
 	engine = l.NewChatEngine("e1", func(w http.ResponseWriter, r *http.Request, body []byte) {
 		engine.Ran(body)
-		// The engine generates one choice after the other.
+		chunk := lab.Chunk
+		if r.URL.Path == "/v1/completions" {
+			chunk = lab.TextChunk
+		}
+		// The engine generates one choice after the other, as it reads one prompt of a batch after the other.
 		lab.WriteEvents(w, 30*time.Millisecond,
-			lab.Chunk(0, "the first ", ""), lab.Chunk(0, "proposal", ""), lab.Chunk(0, "", "stop"))
+			chunk(0, "the first ", ""), chunk(0, "proposal", ""), chunk(0, "", "stop"))
 		if l.Trouble {
 			l.Note("engine e1 breaks the connection before the second choice")
 			panic(http.ErrAbortHandler)
 		}
 		time.Sleep(30 * time.Millisecond)
 		lab.WriteEvents(w, 30*time.Millisecond,
-			lab.Chunk(1, "the second ", ""), lab.Chunk(1, "proposal", ""), lab.Chunk(1, "", "stop"), lab.UsageAndDone)
+			chunk(1, "the second ", ""), chunk(1, "proposal", ""), chunk(1, "", "stop"), lab.UsageAndDone)
 	})
 	gateway := l.Operator("gateway", lab.OperatorFile(engine))
 	l.AwaitHealthy(gateway.Addr)
@@ -35,13 +39,19 @@
 	streamed := l.Order(context.Background(), gateway.Addr, "key 2", "two proposals, streamed", 0, map[string]any{"n": 2, "stream": true})
 	retried := l.Order(context.Background(), gateway.Addr, "key 1", "two proposals, whole", 1, map[string]any{"n": 2})
 
+	batch := l.Post(context.Background(), gateway.Addr, "/v1/completions", "key 3", "two prompts", 0,
+		map[string]any{"model": "order-assistant", "prompt": []string{"the first order", "the second order"}})
+
 	faults := 0
 	broken := func(format string, args ...any) {
 		l.Note("BROKEN: "+format, args...)
 		faults++
 	}
-	for name, reply := range map[string]lab.Reply{"the answer": whole, "the answer to the retry": retried} {
+	for name, reply := range map[string]lab.Reply{"the answer": whole, "the answer to the retry": retried, "the answer to two prompts": batch} {
 		if reply.Status != http.StatusOK || !reply.Whole {
+			if !l.Trouble {
+				l.Fail("%s is an error though nothing broke", name)
+			}
 			continue // an error, which is allowed for a stream that broke
 		}
 		if choices := choicesOf(reply.Body); choices != 2 {
@@ -54,7 +64,7 @@
 		}
 	}
 	if faults > 0 {
-		l.End(lab.Broken, "%d answers of three were given as complete without the second choice", faults)
+		l.End(lab.Broken, "%d answers of four were given as complete without the second choice", faults)
 	}
 	l.End(lab.Held, "no answer was given as complete without all of its choices")
 }
--- a/review/standins-2/testdata/lab/chat.go
+++ b/review/standins-2/testdata/lab/chat.go
@@ -116,6 +116,19 @@
 	return "data: " + string(raw) + "\n\n"
 }
 
+// TextChunk returns one event of a completion, with the text of the answer to one of its prompts.
+func TextChunk(choice int, text, finish string) string {
+	var reason any
+	if finish != "" {
+		reason = finish
+	}
+	raw, _ := json.Marshal(map[string]any{
+		"id": "cmpl-1", "object": "text_completion", "created": 1, "model": "m",
+		"choices": []any{map[string]any{"index": choice, "text": text, "logprobs": nil, "finish_reason": reason}},
+	})
+	return "data: " + string(raw) + "\n\n"
+}
+
 // UsageAndDone are the last two events of a complete stream.
 const UsageAndDone = `data: {"id":"cmpl-1","object":"chat.completion.chunk","created":1,"model":"m","choices":[],"usage":{"prompt_tokens":8,"completion_tokens":2,"total_tokens":10}}` + "\n\ndata: [DONE]\n\n"
 
@@ -152,14 +165,20 @@
 	return fmt.Sprintf("%d %s, X-Should-Retry %q, Idempotent-Replayed %q: %s", r.Status, end, r.Header.Get("X-Should-Retry"), r.Header.Get("Idempotent-Replayed"), strings.TrimSpace(r.Body))
 }
 
-// Order sends an order under a key, as the count-th retry of the client, and waits for the answer.
+// Order sends an order as a chat under a key, as the count-th retry of the client, and waits for the answer.
 func (l *Lab) Order(ctx context.Context, addr, key, order string, count int, fields map[string]any) Reply {
 	request := map[string]any{"model": "order-assistant", "messages": []any{map[string]any{"role": "user", "content": order}}}
 	for name, value := range fields {
 		request[name] = value
 	}
+	return l.Post(ctx, addr, "/v1/chat/completions", key, order, count, request)
+}
+
+// Post sends a request under a key, as the count-th retry of the client, and waits for the answer. The record
+// knows it by its label.
+func (l *Lab) Post(ctx context.Context, addr, path, key, order string, count int, request map[string]any) Reply {
 	body, _ := json.Marshal(request)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/chat/completions", strings.NewReader(string(body)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, strings.NewReader(string(body)))
 	if err != nil {
 		l.Fail("request: %v", err)
 	}
