--- a/review/standins-2/testdata/case10/main.go
+++ b/review/standins-2/testdata/case10/main.go
@@ -1,110 +1,86 @@
-// Case10: orders with two choices, or two prompts, whose streams break after the first choice.
+// Case10: a slow engine writes answers whose text mentions the event that ends a stream.
 package main
 
 import (
-	"context"
-	"encoding/json"
-	"io"
-	"net/http"
+	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"standins2/lab"
 )
 
-func main() {
-	l := lab.New(100 * time.Second)
-	var engine *lab.ChatEngine
-	engine = l.NewChatEngine("e1", func(w http.ResponseWriter, r *http.Request, body []byte) {
-		engine.Ran(body)
-		chunk := lab.Chunk
-		if r.URL.Path == "/v1/completions" {
-			chunk = lab.TextChunk
-		}
-		// The engine generates one choice after the other, as it reads one prompt of a batch after the other.
-		lab.WriteEvents(w, 30*time.Millisecond,
-			chunk(0, "the first ", ""), chunk(0, "proposal", ""), chunk(0, "", "stop"))
-		if l.Trouble {
-			l.Note("engine e1 breaks the connection before the second choice")
-			panic(http.ErrAbortHandler)
-		}
-		time.Sleep(30 * time.Millisecond)
-		lab.WriteEvents(w, 30*time.Millisecond,
-			chunk(1, "the second ", ""), chunk(1, "proposal", ""), chunk(1, "", "stop"), lab.UsageAndDone)
-	})
-	gateway := l.Operator("gateway", lab.OperatorFile(engine))
-	l.AwaitHealthy(gateway.Addr)
-
-	whole := l.Order(context.Background(), gateway.Addr, "key 1", "two proposals, whole", 0, map[string]any{"n": 2})
-	streamed := l.Order(context.Background(), gateway.Addr, "key 2", "two proposals, streamed", 0, map[string]any{"n": 2, "stream": true})
-	retried := l.Order(context.Background(), gateway.Addr, "key 1", "two proposals, whole", 1, map[string]any{"n": 2})
+const (
+	tokenTime  = 80 * time.Millisecond // between two tokens of a healthy engine
+	tokensEach = 3                     // tokens of an event
+	slowFactor = 8                     // of the slow engine
+	requests   = 12
+)
 
-	batch := l.Post(context.Background(), gateway.Addr, "/v1/completions", "key 3", "two prompts", 0,
-		map[string]any{"model": "order-assistant", "prompt": []string{"the first order", "the second order"}})
+// An answer, one string for each event. The second event of an explanation quotes the last event of a stream.
+var (
+	explanation = []string{"The last event is ", "`data: [DONE]`", ", and after ", "it nothing comes. ", "Then it ends."}
+	plain       = []string{"The last event is ", "`data: (DONE)`", ", and after ", "it nothing comes. ", "Then it ends."}
+)
 
-	faults := 0
-	broken := func(format string, args ...any) {
-		l.Note("BROKEN: "+format, args...)
-		faults++
-	}
-	for name, reply := range map[string]lab.Reply{"the answer": whole, "the answer to the retry": retried, "the answer to two prompts": batch} {
-		if reply.Status != http.StatusOK || !reply.Whole {
-			if !l.Trouble {
-				l.Fail("%s is an error though nothing broke", name)
+func main() {
+	l := lab.New(110 * time.Second)
+	var mu sync.Mutex
+	served := map[string]string{} // the engine that wrote an answer, by request
+	writer := func(id string, factor int) lab.Member {
+		return l.Writer(id, func(requestID string) ([]string, time.Duration) {
+			mu.Lock()
+			served[requestID] = id
+			mu.Unlock()
+			pause := tokenTime * tokensEach * time.Duration(factor)
+			if strings.HasPrefix(requestID, "plain") {
+				return plain, pause
 			}
-			continue // an error, which is allowed for a stream that broke
-		}
-		if choices := choicesOf(reply.Body); choices != 2 {
-			broken("%s is 200 and has %d of 2 choices", name, choices)
-		}
+			return explanation, pause
+		})
 	}
-	if done := strings.Contains(streamed.Body, "data: [DONE]"); streamed.Status == http.StatusOK && done {
-		if choices := streamedChoices(streamed.Body); choices != 2 {
-			broken("the stream ends with [DONE] and has %d of 2 choices", choices)
-		}
-	}
-	if faults > 0 {
-		l.End(lab.Broken, "%d answers of four were given as complete without the second choice", faults)
+	slow := 1
+	if l.Trouble {
+		slow = slowFactor
 	}
-	l.End(lab.Held, "no answer was given as complete without all of its choices")
-}
+	// One engine of four is slow.
+	discovery := l.NewDiscovery([]lab.Member{l.Reader("r1"), l.Reader("r2"), writer("w1", 1), writer("w2", slow)})
+	gateway := l.Platform("n0", lab.PlatformConfig(discovery))
+	l.AwaitHealthy(gateway.Addr)
 
-// choicesOf returns the number of choices with a finish reason of an answer in one piece.
-func choicesOf(body string) int {
-	var answer struct {
-		Choices []struct {
-			Finish string `json:"finish_reason"`
-		}
+	type result struct {
+		id    string
+		reply lab.Reply
 	}
-	_ = json.Unmarshal([]byte(body), &answer)
-	n := 0
-	for _, c := range answer.Choices {
-		if c.Finish != "" {
-			n++
+	results := make([]result, requests)
+	lab.Parallel(requests, func(i int) {
+		time.Sleep(time.Duration(i) * 150 * time.Millisecond)
+		id := fmt.Sprintf("plain-%04d", i)
+		if i%2 == 1 {
+			id = fmt.Sprintf("quote-%04d", i)
 		}
-	}
-	return n
-}
+		results[i] = result{id, l.Stream(gateway.Addr, id)}
+	})
 
-// streamedChoices returns the number of choices that have a finish reason in a stream.
-func streamedChoices(body string) int {
-	finished := map[int]bool{}
-	for line := range strings.Lines(body) {
-		data, is := strings.CutPrefix(strings.TrimSpace(line), "data: ")
-		var event struct {
-			Choices []struct {
-				Index  int
-				Finish string `json:"finish_reason"`
-			}
+	cut, slowServed := 0, 0
+	for _, r := range results {
+		if served[r.id] == "w2" && strings.HasPrefix(r.id, "quote") {
+			slowServed++
 		}
-		if !is || json.NewDecoder(strings.NewReader(data)).Decode(&event) == io.EOF {
-			continue
+		if r.reply.Status != 200 || r.reply.Whole && strings.HasSuffix(r.reply.Body, "data: [DONE]\n\n") {
+			continue // refused, or all of it arrived
 		}
-		for _, c := range event.Choices {
-			if c.Finish != "" {
-				finished[c.Index] = true
-			}
+		if strings.HasPrefix(r.id, "plain") {
+			l.Fail("the stream of %s, which quotes nothing, was cut off", r.id)
 		}
+		l.Note("BROKEN: %s by %s was cut off while its engine was writing", r.id, served[r.id])
+		cut++
+	}
+	if slowServed == 0 {
+		l.Fail("no request went to the engine w2")
+	}
+	if cut > 0 {
+		l.End(lab.Broken, "%d of %d streams that a running engine was still writing were cut off", cut, requests)
 	}
-	return len(finished)
+	l.End(lab.Held, "all %d streams arrived whole, %d of them quoted from the engine w2", requests, slowServed)
 }
--- a/review/standins-2/testdata/case7/main.go
+++ b/review/standins-2/testdata/case7/main.go
@@ -1,61 +1,106 @@
-// Case7: a gateway without a file of keys runs an order, is restarted with the file that keeps keys over
-// restarts, and the client retries.
+// Case7: a configuration that lacks a key is loaded by SIGHUP, and an engine fails after it has run a request.
 package main
 
 import (
-	"context"
+	"fmt"
+	"io"
 	"net/http"
-	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
 	"time"
 
 	"standins2/lab"
 )
 
 const (
-	key   = "key of the order"
-	order = "two winches"
+	warmUp   = 16 // requests before the change, which all succeed
+	requests = 40 // after it
+	failing  = 5  // of these every fifth meets an engine that fails after it has run the request
 )
 
 func main() {
 	l := lab.New(100 * time.Second)
-	var engine *lab.ChatEngine
-	running := make(chan struct{}, 8)
-	engine = l.NewChatEngine("e1", func(w http.ResponseWriter, r *http.Request, body []byte) {
-		engine.Ran(body)
-		running <- struct{}{}
-		lab.WriteEvents(w, 100*time.Millisecond, lab.Chunk(0, "placed ", ""), lab.Chunk(0, "once", "stop"), lab.UsageAndDone)
-	})
-	file := lab.OperatorFile(engine)
-	file["gateways"] = 1
-	gateway := l.Operator("gateway", file)
+	var mu sync.Mutex
+	runs := map[string]map[string]int{} // by request and zone: runs that the engines of the zone did not drop
+	// The engines of a zone drop repeats of a request: a repeat gets the answer and is not run again.
+	engine := func(id, zone string) lab.Member {
+		m := l.Engine(id, "m", func(w http.ResponseWriter, _ *http.Request, requestID string) {
+			mu.Lock()
+			if runs[requestID] == nil {
+				runs[requestID] = map[string]int{}
+			}
+			first := len(runs[requestID]) == 0
+			repeat := runs[requestID][zone] > 0
+			if !repeat {
+				runs[requestID][zone]++
+			}
+			mu.Unlock()
+			if repeat {
+				l.Note("engine %s of zone %s drops the repeat of %s and answers", id, zone, requestID)
+			} else {
+				l.Note("engine %s of zone %s runs %s", id, zone, requestID)
+			}
+			time.Sleep(20 * time.Millisecond)
+			if first && strings.HasPrefix(requestID, "fails") {
+				l.Note("engine %s fails after it has run %s: 500", id, requestID)
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			io.WriteString(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"done\"},\"finish_reason\":\"stop\"}]}\n\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":12,\"completion_tokens\":1,\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\ndata: [DONE]\n\n")
+		})
+		m.Locality = zone
+		return m
+	}
+	a, b := engine("ma", "a"), engine("mb", "b")
+	b.Cell = 2
+	discovery := l.NewDiscovery([]lab.Member{a, b})
+	config := lab.PlatformConfig(discovery)
+	settings := config["settings"].(map[string]any)
+	settings["zones"], settings["kinds"] = []string{"a", "b"}, []string{"m"}
+	settings["family_info"] = map[string]any{"duty_by_kind": []string{"both"}, "pin_limit": 500000, "tokens_by_kind": []int{200000}, "resume": false}
+	class := map[string]any{"name": "entry-post", "aim": 2500000, "hard_limit": 10000000, "effect": "guarded", "group": "zone", "window": 5000000, "gain": 2}
+	settings["classes"] = []any{class}
+	gateway := l.Platform("n0", config)
 	l.AwaitHealthy(gateway.Addr)
-
-	// The client's first attempt: it gives up waiting and drops its connection.
-	ctx, giveUp := context.WithCancel(context.Background())
-	answer := make(chan lab.Reply, 1)
-	go func() { answer <- l.Order(ctx, gateway.Addr, key, order, 0, nil) }()
-	select {
-	case <-running:
-	case <-time.After(10 * time.Second):
-		l.Fail("the order did not reach the engine")
+	for i := range warmUp {
+		l.Stream(gateway.Addr, fmt.Sprintf("before-%04d", i))
 	}
-	time.Sleep(50 * time.Millisecond)
-	giveUp()
-	<-answer
-	time.Sleep(time.Second)
-
 	if l.Trouble {
-		l.Note("planned restart: SIGTERM to the gateway, which then starts with idempotency.file")
-		if !gateway.Stop(20 * time.Second) {
-			l.Fail("the gateway does not end after SIGTERM")
+		delete(class, "group")
+	}
+	l.Note("SIGHUP; classes of the file: %v", class)
+	l.WriteConfig("n0", config)
+	gateway.Signal(syscall.SIGHUP)
+	time.Sleep(1500 * time.Millisecond)
+	refused := 0
+	for i := range requests {
+		id := fmt.Sprintf("after-%04d", i)
+		if i%failing == 0 {
+			id = fmt.Sprintf("fails-%04d", i)
+		}
+		reply := l.Stream(gateway.Addr, id)
+		mu.Lock()
+		ran := len(runs[id]) > 0
+		mu.Unlock()
+		if ran && (reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests) {
+			l.Note("BROKEN: %s was refused with %d after it had run in one zone", id, reply.Status)
+			refused++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	twice := 0
+	for id, zones := range runs {
+		if len(zones) > 1 {
+			l.Note("BROKEN: %s ran in %d zones, and engines drop repeats within a zone only", id, len(zones))
+			twice++
 		}
-		file["idempotency"] = map[string]any{"file": filepath.Join(l.Dir, "keys.db")}
-		gateway = l.Operator("gateway", file)
-		l.AwaitHealthy(gateway.Addr)
 	}
-	l.Order(context.Background(), gateway.Addr, key, order, 1, nil)
-	if runs := engine.Runs(order); runs > 1 {
-		l.End(lab.Broken, "the order, a single_shot request under one key, ran %d times", runs)
+	if twice+refused > 0 {
+		l.End(lab.Broken, "of %d guarded requests %d ran in two zones, and %d were refused after they had run", len(runs), twice, refused)
 	}
-	l.End(lab.Held, "the order ran %d time", engine.Runs(order))
+	l.End(lab.Held, "none of %d guarded requests ran in two zones or was refused after it had run", len(runs))
 }
--- a/review/standins-2/testdata/lab/chat.go
+++ b/review/standins-2/testdata/lab/chat.go
@@ -184,7 +184,9 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Authorization", "Bearer "+APIKey)
-	r.Header.Set("Idempotency-Key", key)
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
 	r.Header.Set("X-Stainless-Retry-Count", fmt.Sprint(count))
 	r.GetBody = nil // the transport must not send it again
 	l.Note("client sends %q under key %s, retry count %d", order, key, count)
@@ -198,7 +200,12 @@
 		raw, err := io.ReadAll(bufio.NewReader(resp.Body))
 		reply = Reply{Status: resp.StatusCode, Header: resp.Header, Body: string(raw), Whole: err == nil, Err: err}
 	}
-	l.Note("client got for %q: %v", order, reply)
+	if noted := reply; len(reply.Body) > 4<<10 {
+		noted.Body = fmt.Sprintf("%s... (%d bytes)", reply.Body[:200], len(reply.Body))
+		l.Note("client got for %q: %v", order, noted)
+	} else {
+		l.Note("client got for %q: %v", order, reply)
+	}
 	return reply
 }
 
--- a/review/standins-2/testdata/lab/lab.go
+++ b/review/standins-2/testdata/lab/lab.go
@@ -131,6 +131,15 @@
 	return l.startProcess(name, "", []string{"EDGE_CONFIG=" + path, "TMPDIR=" + l.Dir})
 }
 
+// WriteConfig replaces the configuration of a gateway by a rename, as platforms do.
+func (l *Lab) WriteConfig(name string, config map[string]any) {
+	path := filepath.Join(l.Dir, name+".json")
+	l.writeJSON(path+".new", config)
+	if err := os.Rename(path+".new", path); err != nil {
+		l.Fail("configuration: %v", err)
+	}
+}
+
 func (l *Lab) writeJSON(path string, v any) {
 	raw, err := json.MarshalIndent(v, "", "  ")
 	if err == nil {
@@ -208,6 +217,9 @@
 	return nil
 }
 
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
