--- a/review/standins-2/testdata/case10/main.go
+++ b/review/standins-2/testdata/case10/main.go
@@ -1,11 +1,8 @@
-// Case10: engines that stop in the middle of an answer and go on to send bytes that are no event.
+// Case10: a slow engine writes answers whose text mentions the event that ends a stream.
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -14,107 +11,76 @@
 )
 
 const (
-	// The pages allow 5 s from a running engine's last event to the end of its stream, and 50 ms on every limit.
-	allowed = 5*time.Second + 50*time.Millisecond
-	// How long a client waits before the case gives up on it.
-	patience = 30 * time.Second
+	tokenTime  = 80 * time.Millisecond // between two tokens of a healthy engine
+	tokensEach = 3                     // tokens of an event
+	slowFactor = 8                     // of the slow engine
+	requests   = 32
+)
+
+// An answer, one string for each event. The second event of an explanation quotes the last event of a stream.
+var (
+	explanation = []string{"The last event is ", "`data: [DONE]`", ", and after ", "it nothing comes. ", "Then it ends."}
+	plain       = []string{"The last event is ", "`data: (DONE)`", ", and after ", "it nothing comes. ", "Then it ends."}
 )
 
 func main() {
-	l := lab.New(100 * time.Second)
-	writer := l.Engine("w1", "w", func(w http.ResponseWriter, r *http.Request, requestID string) {
-		w.Header().Set("Content-Type", "text/event-stream")
-		controller := http.NewResponseController(w)
-		send := func(text string) bool {
-			_, err := io.WriteString(w, text)
-			return err == nil && controller.Flush() == nil && r.Context().Err() == nil
-		}
-		event := func(content, reason string) string {
-			return fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":%s}]}\n\n", content, reason)
-		}
-		for i := range 3 {
-			send(event(fmt.Sprintf("w%d ", i), "null"))
-			time.Sleep(100 * time.Millisecond)
-		}
-		spoilt := l.Trouble && !strings.HasPrefix(requestID, "sound")
-		for spoilt {
-			text := ": X-Load: {\"x0\":0.5}\n" // comment lines without an end
-			if strings.HasPrefix(requestID, "line") {
-				text = ":" // one line without an end
-			}
-			if !send(text) {
-				l.Note("engine w1: the connection of %s is closed", requestID)
-				return
+	l := lab.New(110 * time.Second)
+	var mu sync.Mutex
+	served := map[string]string{} // the engine that wrote an answer, by request
+	writer := func(id string, factor int) lab.Member {
+		return l.Writer(id, func(requestID string) ([]string, time.Duration) {
+			mu.Lock()
+			served[requestID] = id
+			mu.Unlock()
+			pause := tokenTime * tokensEach * time.Duration(factor)
+			if strings.HasPrefix(requestID, "plain") {
+				return plain, pause
 			}
-			time.Sleep(time.Second)
-		}
-		send(event("end", `"stop"`))
-		send("data: {\"choices\":[],\"usage\":{\"prompt_tokens\":12,\"completion_tokens\":4,\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\ndata: [DONE]\n\n")
-	})
-	discovery := l.NewDiscovery([]lab.Member{l.Reader("r1"), writer})
+			return explanation, pause
+		})
+	}
+	slow := 1
+	if l.Trouble {
+		slow = slowFactor
+	}
+	// One engine of four is slow.
+	discovery := l.NewDiscovery([]lab.Member{l.Reader("r1"), l.Reader("r2"), writer("w1", 1), writer("w2", slow)})
 	gateway := l.Platform("n0", lab.PlatformConfig(discovery))
 	l.AwaitHealthy(gateway.Addr)
 
-	ids := []string{"sound-0001", "comments-0002", "line-0003", "sound-0004"}
-	broken := 0
-	var mu sync.Mutex
-	lab.Parallel(len(ids), func(i int) {
-		waited, ended := read(l, gateway.Addr, ids[i])
-		if strings.HasPrefix(ids[i], "sound") && (!ended || waited > allowed) {
-			l.Fail("the sound stream of %s did not end", ids[i])
-		}
-		if waited > allowed {
-			l.Note("BROKEN: the client of %s waited %v after the last event; its stream has ended: %v", ids[i], waited.Round(time.Millisecond), ended)
-			mu.Lock()
-			defer mu.Unlock()
-			broken++
+	type result struct {
+		id    string
+		reply lab.Reply
+	}
+	results := make([]result, requests)
+	lab.Parallel(requests, func(i int) {
+		time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+		id := fmt.Sprintf("plain-%04d", i)
+		if i%4 != 0 {
+			id = fmt.Sprintf("quote-%04d", i)
 		}
+		results[i] = result{id, l.Stream(gateway.Addr, id)}
 	})
-	if broken > 0 {
-		l.End(lab.Broken, "%d of %d streams were left open over %v after the last event", broken, len(ids), allowed)
-	}
-	l.End(lab.Held, "all %d streams ended in time", len(ids))
-}
 
-// read sends a request and reads its answer until it ends, or for patience after the last event. It returns the
-// time from the last event to the end.
-func read(l *lab.Lab, addr, id string) (waited time.Duration, ended bool) {
-	resp, err := l.Open(addr, id)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		l.Fail("request %s: %v, %v", id, resp, err)
-	}
-	defer resp.Body.Close()
-	type line struct {
-		text string
-		err  error
-	}
-	lines := make(chan line, 256)
-	go func() {
-		reader := bufio.NewReader(resp.Body)
-		for {
-			text, err := reader.ReadString('\n')
-			lines <- line{text, err}
-			if err != nil {
-				return
-			}
+	cut, slowServed := 0, 0
+	for _, r := range results {
+		if served[r.id] == "w2" && strings.HasPrefix(r.id, "quote") {
+			slowServed++
 		}
-	}()
-	last := time.Now()
-	for {
-		select {
-		case x := <-lines:
-			if strings.TrimSpace(x.text) != "" || x.err != nil {
-				l.Note("client of %s got %q, error %v", id, x.text, x.err)
-			}
-			if x.err != nil {
-				return time.Since(last), true
-			}
-			if strings.HasPrefix(x.text, "data:") {
-				last = time.Now()
-			}
-		case <-time.After(max(0, patience-time.Since(last))):
-			l.Note("the client of %s gives up %v after the last event", id, patience)
-			return patience, false
+		if r.reply.Status != 200 || r.reply.Whole && strings.HasSuffix(r.reply.Body, "data: [DONE]\n\n") {
+			continue // refused, or all of it arrived
 		}
+		if strings.HasPrefix(r.id, "plain") {
+			l.Fail("the stream of %s, which quotes nothing, was cut off", r.id)
+		}
+		l.Note("BROKEN: %s by %s was cut off while its engine was writing", r.id, served[r.id])
+		cut++
+	}
+	if slowServed == 0 {
+		l.Fail("no request went to the engine w2")
+	}
+	if cut > 0 {
+		l.End(lab.Broken, "%d of %d streams that a running engine was still writing were cut off", cut, requests)
 	}
+	l.End(lab.Held, "all %d streams arrived whole, %d of them quoted from the engine w2", requests, slowServed)
 }
--- a/review/standins-2/testdata/case6/main.go
+++ b/review/standins-2/testdata/case6/main.go
@@ -1,141 +1,108 @@
-// Case6: an engine sends some answers a second time, some milliseconds late.
+// Case6: a configuration that lacks a key is loaded by SIGHUP, and an engine fails after it has run a request.
 package main
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"regexp"
 	"strings"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"standins2/lab"
 )
 
 const (
-	clients     = 6
-	playTime    = 3 * time.Second
-	answerTime  = 25 * time.Millisecond // that an answer takes
-	late        = 5 * time.Millisecond  // of a second answer
-	spoiltEvery = 20                    // one answer of so many comes twice
+	warmUp   = 16 // requests before the change, which all succeed
+	requests = 64 // after it
+	failing  = 8  // of these every eighth meets an engine that fails after it has run the request
 )
 
 func main() {
 	l := lab.New(100 * time.Second)
-	e := &engine{lab: l}
-	file := lab.OperatorFile(&lab.ChatEngine{ID: "e1", Addr: e.listen()})
-	file["teams"] = []any{
-		map[string]any{"name": "counter", "keys": []string{"key-counter"}, "models": []string{"parts-assistant"}},
-		map[string]any{"name": "boatyards", "keys": []string{"key-boatyards"}, "models": []string{"parts-assistant"}},
-	}
-	gateway := l.Operator("gateway", file)
-	l.AwaitHealthy(gateway.Addr)
-
-	var sent, own, foreign atomic.Int32
-	end := time.Now().Add(playTime)
-	lab.Parallel(clients, func(client int) {
-		team := []string{"counter", "boatyards"}[client%2]
-		for n := 0; time.Now().Before(end); n++ {
-			word := fmt.Sprintf("secret-%s-%d-%d", team, client, n)
-			reply := l.PostAs(context.Background(), "key-"+team, gateway.Addr, "/v1/chat/completions", "", word, 0, map[string]any{
-				"model": "parts-assistant", "messages": []any{map[string]any{"role": "user", "content": "repeat " + word + "."}},
-			})
-			sent.Add(1)
-			switch got := words.FindString(reply.Body); {
-			case reply.Status != http.StatusOK || !reply.Whole:
-			case got == word:
-				own.Add(1)
-			default:
-				l.Note("BROKEN: client %d of team %s asked for %s and got 200 with %s", client, team, word, got)
-				foreign.Add(1)
+	var mu sync.Mutex
+	runs := map[string]map[string]int{} // by request and zone: runs that the engines of the zone did not drop
+	// The writers of a zone drop repeats of a request: a repeat gets the answer and is not run again.
+	writer := func(id, zone string) lab.Member {
+		m := l.Engine(id, "decode-a", func(w http.ResponseWriter, _ *http.Request, requestID string) {
+			mu.Lock()
+			if runs[requestID] == nil {
+				runs[requestID] = map[string]int{}
 			}
-		}
-	})
-	l.Note("%d requests, %d own answers, %d answers to others; the engine sent %d answers twice", sent.Load(), own.Load(), foreign.Load(), e.spoilt.Load())
-	if own.Load() == 0 || l.Trouble && e.spoilt.Load() == 0 {
-		l.Fail("nothing was answered, or no answer came twice")
+			first := len(runs[requestID]) == 0
+			repeat := runs[requestID][zone] > 0
+			if !repeat {
+				runs[requestID][zone]++
+			}
+			mu.Unlock()
+			if repeat {
+				l.Note("engine %s of zone %s drops the repeat of %s and answers", id, zone, requestID)
+			} else {
+				l.Note("engine %s of zone %s runs %s", id, zone, requestID)
+			}
+			time.Sleep(20 * time.Millisecond)
+			if first && strings.HasPrefix(requestID, "fails") {
+				l.Note("engine %s fails after it has run %s: 500", id, requestID)
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			io.WriteString(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"done\"},\"finish_reason\":\"stop\"}]}\n\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":12,\"completion_tokens\":1,\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\ndata: [DONE]\n\n")
+		})
+		return m
 	}
-	if foreign.Load() > 0 {
-		l.End(lab.Broken, "%d of %d answers were those to another request", foreign.Load(), own.Load()+foreign.Load())
+	// A reader and a writer in each of two zones.
+	place := func(m lab.Member, zone string, cell int) lab.Member {
+		m.Locality, m.Cell = zone, cell
+		return m
 	}
-	l.End(lab.Held, "all %d answers were the caller's own", own.Load())
-}
-
-var words = regexp.MustCompile(`secret-[a-z]+-\d+-\d+`)
-
-// engine answers chats on connections that stay open. It serves one request at a time on each.
-type engine struct {
-	lab      *lab.Lab
-	answered atomic.Int32
-	spoilt   atomic.Int32
-}
-
-func (e *engine) listen() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		e.lab.Fail("engine: %v", err)
+	discovery := l.NewDiscovery([]lab.Member{
+		place(l.Reader("r1"), "gasan", 1), place(writer("w1", "gasan"), "gasan", 1),
+		place(l.Reader("r2"), "mokdong", 2), place(writer("w2", "mokdong"), "mokdong", 2),
+	})
+	config := lab.PlatformConfig(discovery)
+	class := config["settings"].(map[string]any)["classes"].([]any)[0].(map[string]any)
+	class["effect"], class["group"] = "guarded", "zone"
+	gateway := l.Platform("n0", config)
+	l.AwaitHealthy(gateway.Addr)
+	for i := range warmUp {
+		l.Stream(gateway.Addr, fmt.Sprintf("before-%04d", i))
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-func (e *engine) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	var writing sync.Mutex
-	write := func(text string) {
-		writing.Lock()
-		defer writing.Unlock()
-		_, _ = io.WriteString(conn, text)
+	if l.Trouble {
+		delete(class, "group")
 	}
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
+	l.Note("SIGHUP; classes of the file: %v", class)
+	l.WriteConfig("n0", config)
+	gateway.Signal(syscall.SIGHUP)
+	time.Sleep(1500 * time.Millisecond)
+	refused := 0
+	for i := range requests {
+		id := fmt.Sprintf("after-%04d", i)
+		if i%failing == 0 {
+			id = fmt.Sprintf("fails-%04d", i)
 		}
-		if r.Method != http.MethodPost {
-			write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-			continue
+		reply := l.Stream(gateway.Addr, id)
+		mu.Lock()
+		ran := len(runs[id]) > 0
+		mu.Unlock()
+		if ran && (reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests) {
+			l.Note("BROKEN: %s was refused with %d after it had run in one zone", id, reply.Status)
+			refused++
 		}
-		word := words.FindString(string(body))
-		e.lab.Note("engine got %s on the connection from %s", word, conn.RemoteAddr())
-		time.Sleep(answerTime)
-		answer := response(word)
-		write(answer)
-		if e.answered.Add(1)%spoiltEvery == 0 && e.lab.Trouble {
-			e.spoilt.Add(1)
-			time.AfterFunc(late, func() {
-				e.lab.Note("engine sends the answer to %s a second time", word)
-				write(answer)
-			})
+		time.Sleep(50 * time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	twice := 0
+	for id, zones := range runs {
+		if len(zones) > 1 {
+			l.Note("BROKEN: %s ran in %d zones, and engines drop repeats within a zone only", id, len(zones))
+			twice++
 		}
 	}
-}
-
-// response is a whole answer, in chunks.
-func response(word string) string {
-	var out strings.Builder
-	out.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-	for _, event := range []string{lab.Chunk(0, word, ""), lab.Chunk(0, "", "stop"), lab.UsageAndDone} {
-		fmt.Fprintf(&out, "%x\r\n%s\r\n", len(event), event)
+	if twice+refused > 0 {
+		l.End(lab.Broken, "of %d guarded requests %d ran in two zones, and %d were refused after they had run", len(runs), twice, refused)
 	}
-	out.WriteString("0\r\n\r\n")
-	return out.String()
+	l.End(lab.Held, "none of %d guarded requests ran in two zones or was refused after it had run", len(runs))
 }
--- a/review/standins-2/testdata/case8/main.go
+++ b/review/standins-2/testdata/case8/main.go
@@ -1,106 +1,120 @@
-// Case8: a configuration that lacks a key is loaded by SIGHUP, and an engine fails after it has run a request.
+// Case8: many requests at once for answers in one piece with log probabilities.
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
-	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"standins2/lab"
 )
 
 const (
-	warmUp   = 16 // requests before the change, which all succeed
-	requests = 40 // after it
-	failing  = 5  // of these every fifth meets an engine that fails after it has run the request
+	requests     = 40
+	tokens       = 1500 // of an answer
+	alternatives = 5    // top_logprobs
+	tokensAtOnce = 100
+	pause        = 50 * time.Millisecond // after so many tokens
+	memoryMB     = 192                   // as deploy/operator.json has it
 )
 
 func main() {
-	l := lab.New(100 * time.Second)
-	var mu sync.Mutex
-	runs := map[string]map[string]int{} // by request and zone: runs that the engines of the zone did not drop
-	// The engines of a zone drop repeats of a request: a repeat gets the answer and is not run again.
-	engine := func(id, zone string) lab.Member {
-		m := l.Engine(id, "m", func(w http.ResponseWriter, _ *http.Request, requestID string) {
-			mu.Lock()
-			if runs[requestID] == nil {
-				runs[requestID] = map[string]int{}
+	l := lab.New(110 * time.Second)
+	event := tokenEvent()
+	engine := l.NewChatEngine("e1", func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		controller := http.NewResponseController(w)
+		for i := range tokens {
+			io.WriteString(w, event)
+			if i%tokensAtOnce == tokensAtOnce-1 {
+				_ = controller.Flush()
+				time.Sleep(pause)
 			}
-			first := len(runs[requestID]) == 0
-			repeat := runs[requestID][zone] > 0
-			if !repeat {
-				runs[requestID][zone]++
-			}
-			mu.Unlock()
-			if repeat {
-				l.Note("engine %s of zone %s drops the repeat of %s and answers", id, zone, requestID)
-			} else {
-				l.Note("engine %s of zone %s runs %s", id, zone, requestID)
-			}
-			time.Sleep(20 * time.Millisecond)
-			if first && strings.HasPrefix(requestID, "fails") {
-				l.Note("engine %s fails after it has run %s: 500", id, requestID)
-				w.WriteHeader(http.StatusInternalServerError)
-				return
-			}
-			w.Header().Set("Content-Type", "text/event-stream")
-			io.WriteString(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"done\"},\"finish_reason\":\"stop\"}]}\n\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":12,\"completion_tokens\":1,\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\ndata: [DONE]\n\n")
-		})
-		m.Locality = zone
-		return m
-	}
-	a, b := engine("ma", "a"), engine("mb", "b")
-	b.Cell = 2
-	discovery := l.NewDiscovery([]lab.Member{a, b})
-	config := lab.PlatformConfig(discovery)
-	settings := config["settings"].(map[string]any)
-	settings["zones"], settings["kinds"] = []string{"a", "b"}, []string{"m"}
-	settings["family_info"] = map[string]any{"duty_by_kind": []string{"both"}, "pin_limit": 500000, "tokens_by_kind": []int{200000}, "resume": false}
-	class := map[string]any{"name": "entry-post", "aim": 2500000, "hard_limit": 10000000, "effect": "guarded", "group": "zone", "window": 5000000, "gain": 2}
-	settings["classes"] = []any{class}
-	gateway := l.Platform("n0", config)
+		}
+		io.WriteString(w, lab.Chunk(0, "", "stop")+lab.UsageAndDone)
+	})
+	gateway := l.Operator("gateway", lab.OperatorFile(engine))
 	l.AwaitHealthy(gateway.Addr)
-	for i := range warmUp {
-		l.Stream(gateway.Addr, fmt.Sprintf("before-%04d", i))
+	l.Note("an answer has %d tokens, its events take %d bytes; the file's memory_mb is %d; peak before the requests %d kB", tokens, tokens*len(event), memoryMB, peak(gateway))
+
+	killed := make(chan int, 1)
+	go watchMemory(l, gateway, killed)
+	var whole, refused, lost atomic.Int32
+	send := func(i int) {
+		reply := l.Post(context.Background(), gateway.Addr, "/v1/chat/completions", "", fmt.Sprint("request ", i), 0, map[string]any{
+			"model": "parts-assistant", "logprobs": true, "top_logprobs": alternatives,
+			"messages": []any{map[string]any{"role": "user", "content": fmt.Sprint("part ", i)}},
+		})
+		switch {
+		case reply.Status == http.StatusOK && reply.Whole:
+			whole.Add(1)
+		case reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests:
+			refused.Add(1)
+		default:
+			lost.Add(1)
+		}
 	}
 	if l.Trouble {
-		delete(class, "group")
-	}
-	l.Note("SIGHUP; classes of the file: %v", class)
-	l.WriteConfig("n0", config)
-	gateway.Signal(syscall.SIGHUP)
-	time.Sleep(1500 * time.Millisecond)
-	refused := 0
-	for i := range requests {
-		id := fmt.Sprintf("after-%04d", i)
-		if i%failing == 0 {
-			id = fmt.Sprintf("fails-%04d", i)
-		}
-		reply := l.Stream(gateway.Addr, id)
-		mu.Lock()
-		ran := len(runs[id]) > 0
-		mu.Unlock()
-		if ran && (reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests) {
-			l.Note("BROKEN: %s was refused with %d after it had run in one zone", id, reply.Status)
-			refused++
+		lab.Parallel(requests, send)
+	} else {
+		for i := range requests {
+			send(i)
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	twice := 0
-	for id, zones := range runs {
-		if len(zones) > 1 {
-			l.Note("BROKEN: %s ran in %d zones, and engines drop repeats within a zone only", id, len(zones))
-			twice++
+	l.Note("%d answers whole, %d refused, %d lost", whole.Load(), refused.Load(), lost.Load())
+	select {
+	case kilobytes := <-killed:
+		l.End(lab.Broken, "the gateway was killed at %d MB with memory_mb %d; %d of %d accepted requests lost", kilobytes>>10, memoryMB, lost.Load(), requests)
+	default:
+	}
+	if !l.Trouble && whole.Load() != requests {
+		l.Fail("only %d of %d requests were answered though they came one after the other", whole.Load(), requests)
+	}
+	l.End(lab.Held, "the gateway's memory stayed at %d MB with memory_mb %d", peak(gateway)>>10, memoryMB)
+}
+
+// watchMemory does what the platform does: it kills a gateway that is over its memory.
+func watchMemory(l *lab.Lab, gateway *lab.Process, killed chan<- int) {
+	for !gateway.Ended() {
+		if kilobytes := peak(gateway); kilobytes > memoryMB<<10 {
+			killed <- kilobytes
+			l.Note("BROKEN: the gateway's memory is %d kB, over memory_mb %d; the platform kills it", kilobytes, memoryMB)
+			gateway.Kill()
+			return
 		}
+		time.Sleep(20 * time.Millisecond)
 	}
-	if twice+refused > 0 {
-		l.End(lab.Broken, "of %d guarded requests %d ran in two zones, and %d were refused after they had run", len(runs), twice, refused)
+}
+
+// tokenEvent is one event of an answer: a token with its log probability and that of its alternatives.
+func tokenEvent() string {
+	var top []string
+	for i := range alternatives {
+		top = append(top, fmt.Sprintf(`{"token":" part%d","logprob":-%d.12345,"bytes":[32,112,97,114,116,%d]}`, i, i, '0'+i))
+	}
+	return `data: {"id":"cmpl-1","object":"chat.completion.chunk","created":1,"model":"m","choices":[{"index":0,"delta":{"content":" part0"},` +
+		`"logprobs":{"content":[{"token":" part0","logprob":-0.12345,"bytes":[32,112,97,114,116,48],"top_logprobs":[` + strings.Join(top, ",") +
+		`]}]},"finish_reason":null}]}` + "\n\n"
+}
+
+// peak returns the highest resident memory of the gateway's process so far, in kB, as the
+// system counts it; 0 for one that has ended.
+func peak(gateway *lab.Process) int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", gateway.Pid()))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(raw)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
+			n, _ := strconv.Atoi(fields[1])
+			return n
+		}
 	}
-	l.End(lab.Held, "none of %d guarded requests ran in two zones or was refused after it had run", len(runs))
+	return 0 // the process has just ended
 }
--- a/review/standins-2/testdata/case9/main.go
+++ b/review/standins-2/testdata/case9/main.go
@@ -1,120 +1,120 @@
-// Case9: many requests at once for answers in one piece with log probabilities.
+// Case9: engines that stop in the middle of an answer and go on to send bytes that are no event.
 package main
 
 import (
-	"context"
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"standins2/lab"
 )
 
 const (
-	requests     = 40
-	tokens       = 1500 // of an answer
-	alternatives = 5    // top_logprobs
-	tokensAtOnce = 100
-	pause        = 50 * time.Millisecond // after so many tokens
-	memoryMB     = 192                   // as deploy/operator.json has it
+	// The pages allow 5 s from a running engine's last event to the end of its stream, and 50 ms on every limit.
+	allowed = 5*time.Second + 50*time.Millisecond
+	// How long a client waits before the case gives up on it.
+	patience = 30 * time.Second
 )
 
 func main() {
-	l := lab.New(110 * time.Second)
-	event := tokenEvent()
-	engine := l.NewChatEngine("e1", func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+	l := lab.New(100 * time.Second)
+	writer := l.Engine("w1", "decode-a", func(w http.ResponseWriter, r *http.Request, requestID string) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		controller := http.NewResponseController(w)
-		for i := range tokens {
-			io.WriteString(w, event)
-			if i%tokensAtOnce == tokensAtOnce-1 {
-				_ = controller.Flush()
-				time.Sleep(pause)
+		send := func(text string) bool {
+			_, err := io.WriteString(w, text)
+			return err == nil && controller.Flush() == nil && r.Context().Err() == nil
+		}
+		event := func(content, reason string) string {
+			return fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":%s}]}\n\n", content, reason)
+		}
+		for i := range 3 {
+			send(event(fmt.Sprintf("w%d ", i), "null"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		spoilt := l.Trouble && !strings.HasPrefix(requestID, "sound")
+		for spoilt {
+			text := ": X-Load: {\"x0\":0.5}\n" // comment lines without an end
+			if strings.HasPrefix(requestID, "line") {
+				text = ":" // one line without an end
 			}
+			if !send(text) {
+				l.Note("engine w1: the connection of %s is closed", requestID)
+				return
+			}
+			time.Sleep(time.Second)
 		}
-		io.WriteString(w, lab.Chunk(0, "", "stop")+lab.UsageAndDone)
+		send(event("end", `"stop"`))
+		send("data: {\"choices\":[],\"usage\":{\"prompt_tokens\":12,\"completion_tokens\":4,\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\ndata: [DONE]\n\n")
 	})
-	gateway := l.Operator("gateway", lab.OperatorFile(engine))
+	discovery := l.NewDiscovery([]lab.Member{l.Reader("r1"), writer})
+	gateway := l.Platform("n0", lab.PlatformConfig(discovery))
 	l.AwaitHealthy(gateway.Addr)
-	l.Note("an answer has %d tokens, its events take %d bytes; the file's memory_mb is %d; peak before the requests %d kB", tokens, tokens*len(event), memoryMB, peak(gateway))
 
-	killed := make(chan int, 1)
-	go watchMemory(l, gateway, killed)
-	var whole, refused, lost atomic.Int32
-	send := func(i int) {
-		reply := l.Post(context.Background(), gateway.Addr, "/v1/chat/completions", "", fmt.Sprint("request ", i), 0, map[string]any{
-			"model": "parts-assistant", "logprobs": true, "top_logprobs": alternatives,
-			"messages": []any{map[string]any{"role": "user", "content": fmt.Sprint("part ", i)}},
-		})
-		switch {
-		case reply.Status == http.StatusOK && reply.Whole:
-			whole.Add(1)
-		case reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests:
-			refused.Add(1)
-		default:
-			lost.Add(1)
+	ids := []string{"sound-0001", "comments-0002", "line-0003", "sound-0004"}
+	broken := 0
+	var mu sync.Mutex
+	lab.Parallel(len(ids), func(i int) {
+		waited, ended := read(l, gateway.Addr, ids[i])
+		if strings.HasPrefix(ids[i], "sound") && (!ended || waited > allowed) {
+			l.Fail("the sound stream of %s did not end", ids[i])
 		}
-	}
-	if l.Trouble {
-		lab.Parallel(requests, send)
-	} else {
-		for i := range requests {
-			send(i)
+		if waited > allowed {
+			l.Note("BROKEN: the client of %s waited %v after the last event; its stream has ended: %v", ids[i], waited.Round(time.Millisecond), ended)
+			mu.Lock()
+			defer mu.Unlock()
+			broken++
 		}
+	})
+	if broken > 0 {
+		l.End(lab.Broken, "%d of %d streams were left open over %v after the last event", broken, len(ids), allowed)
 	}
-	l.Note("%d answers whole, %d refused, %d lost", whole.Load(), refused.Load(), lost.Load())
-	select {
-	case kilobytes := <-killed:
-		l.End(lab.Broken, "the gateway was killed at %d MB with memory_mb %d; %d of %d accepted requests lost", kilobytes>>10, memoryMB, lost.Load(), requests)
-	default:
-	}
-	if !l.Trouble && whole.Load() != requests {
-		l.Fail("only %d of %d requests were answered though they came one after the other", whole.Load(), requests)
-	}
-	l.End(lab.Held, "the gateway's memory stayed at %d MB with memory_mb %d", peak(gateway)>>10, memoryMB)
-}
-
-// watchMemory does what the platform does: it kills a gateway that is over its memory.
-func watchMemory(l *lab.Lab, gateway *lab.Process, killed chan<- int) {
-	for !gateway.Ended() {
-		if kilobytes := peak(gateway); kilobytes > memoryMB<<10 {
-			killed <- kilobytes
-			l.Note("BROKEN: the gateway's memory is %d kB, over memory_mb %d; the platform kills it", kilobytes, memoryMB)
-			gateway.Kill()
-			return
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+	l.End(lab.Held, "all %d streams ended in time", len(ids))
 }
 
-// tokenEvent is one event of an answer: a token with its log probability and that of its alternatives.
-func tokenEvent() string {
-	var top []string
-	for i := range alternatives {
-		top = append(top, fmt.Sprintf(`{"token":" part%d","logprob":-%d.12345,"bytes":[32,112,97,114,116,%d]}`, i, i, '0'+i))
+// read sends a request and reads its answer until it ends, or for patience after the last event. It returns the
+// time from the last event to the end.
+func read(l *lab.Lab, addr, id string) (waited time.Duration, ended bool) {
+	resp, err := l.Open(addr, id)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		l.Fail("request %s: %v, %v", id, resp, err)
 	}
-	return `data: {"id":"cmpl-1","object":"chat.completion.chunk","created":1,"model":"m","choices":[{"index":0,"delta":{"content":" part0"},` +
-		`"logprobs":{"content":[{"token":" part0","logprob":-0.12345,"bytes":[32,112,97,114,116,48],"top_logprobs":[` + strings.Join(top, ",") +
-		`]}]},"finish_reason":null}]}` + "\n\n"
-}
-
-// peak returns the highest resident memory of the gateway's process so far, in kB, as the
-// system counts it; 0 for one that has ended.
-func peak(gateway *lab.Process) int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", gateway.Pid()))
-	if err != nil {
-		return 0
+	defer resp.Body.Close()
+	type line struct {
+		text string
+		err  error
 	}
-	for line := range strings.Lines(string(raw)) {
-		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
-			n, _ := strconv.Atoi(fields[1])
-			return n
+	lines := make(chan line, 256)
+	go func() {
+		reader := bufio.NewReader(resp.Body)
+		for {
+			text, err := reader.ReadString('\n')
+			lines <- line{text, err}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	last := time.Now()
+	for {
+		select {
+		case x := <-lines:
+			if strings.TrimSpace(x.text) != "" || x.err != nil {
+				l.Note("client of %s got %q, error %v", id, x.text, x.err)
+			}
+			if x.err != nil {
+				return time.Since(last), true
+			}
+			if strings.HasPrefix(x.text, "data:") {
+				last = time.Now()
+			}
+		case <-time.After(max(0, patience-time.Since(last))):
+			l.Note("the client of %s gives up %v after the last event", id, patience)
+			return patience, false
 		}
 	}
-	return 0 // the process has just ended
 }
--- a/review/standins-2/testdata/lab/platform.go
+++ b/review/standins-2/testdata/lab/platform.go
@@ -91,7 +91,7 @@
 			http.NotFound(w, r)
 		}
 	})
-	return Member{ID: id, HostPort: addr, Locality: "a", Flavor: "r", Cell: 1, Phase: "active", Size: 1}
+	return Member{ID: id, HostPort: addr, Locality: "gasan", Flavor: "prefill", Cell: 1, Phase: "active", Size: 1}
 }
 
 // Writer starts an engine that streams answers. events returns the content of an answer's events, and the pause
@@ -133,7 +133,7 @@
 		fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":12,\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\ndata: [DONE]\n\n", 3*len(contents))
 		l.Note("engine %s has written %s to its end", id, requestID)
 	})
-	return Member{ID: id, HostPort: addr, Locality: "a", Flavor: "w", Cell: 1, Phase: "active", Size: 1}
+	return Member{ID: id, HostPort: addr, Locality: "gasan", Flavor: "decode-a", Cell: 1, Phase: "active", Size: 1}
 }
 
 // Engine starts an engine of a flavor that answers requests by a function of its own, and releases as any engine.
@@ -152,10 +152,11 @@
 			answer(w, r, requestID)
 		}
 	})
-	return Member{ID: id, HostPort: addr, Locality: "a", Flavor: flavor, Cell: 1, Phase: "active", Size: 1}
+	return Member{ID: id, HostPort: addr, Locality: "gasan", Flavor: flavor, Cell: 1, Phase: "active", Size: 1}
 }
 
-// PlatformConfig returns the configuration of the only gateway, with one class that must not run twice.
+// PlatformConfig returns the configuration of the only gateway, with the figures of the site seoul-main and its
+// class that must not run twice.
 func PlatformConfig(d *Discovery) map[string]any {
 	micros := func(t time.Duration) int64 { return t.Microseconds() }
 	known := json.RawMessage(d.list(true))
@@ -163,11 +164,17 @@
 		"name": "n0", "listen": "127.0.0.1:0", "discovery": d.Addr, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": known,
 		"settings": map[string]any{
-			"az": "a", "zones": []string{"a"}, "balancers": 1, "me": 0, "kinds": []string{"r", "w"}, "tick": 4000,
-			"classes":     []any{map[string]any{"name": "entry-post", "aim": micros(2500 * time.Millisecond), "hard_limit": micros(10 * time.Second), "effect": "single", "gain": 2}},
-			"family_info": map[string]any{"duty_by_kind": []string{"read", "write"}, "pin_limit": micros(500 * time.Millisecond), "tokens_by_kind": []int{200000, 200000}, "resume": false},
-			"limits":      map[string]any{"send_cap": 6, "cancelling": true, "conn_idle": 10_000_000, "connect_timeout": 500_000, "retry_after": true},
-			"rules":       map[string]any{"answer_slack": 16000, "fall": 3000000, "fall_multiple": 4, "cold_share": 0.29, "cold": 10000000, "drain_grace": 1000000},
+			"az": "gasan", "zones": []string{"gasan", "mokdong"}, "balancers": 1, "me": 0, "kinds": []string{"prefill", "decode-a"}, "tick": 2000,
+			"classes": []any{map[string]any{
+				"name": "entry-post", "aim": micros(2500 * time.Millisecond), "hard_limit": micros(10 * time.Second), "late_worth": 0.3, "gain": 2, "streamed": true,
+				"effect": "single_shot", "group": "all", "window": micros(5 * time.Second),
+			}},
+			"family_info": map[string]any{
+				"duty_by_kind": []string{"read", "write"}, "pin_limit": micros(500 * time.Millisecond), "tokens_by_kind": []int{220000, 170000},
+				"aim_us_per_1000_prompt_tokens": []int{40000}, "token_aim": []int{80000}, "local_read": true, "resume": false,
+			},
+			"limits": map[string]any{"send_cap": 6, "cancelling": true, "conn_idle": 15_000_000, "connect_timeout": 250_000, "retry_after": true, "max_retry_after": 1_000_000, "second_copies": false},
+			"rules":  map[string]any{"answer_slack": 16000, "fall": 3_000_000, "fall_multiple": 4, "cold_share": 0.29, "cold": 10_000_000, "drain_grace": 1_000_000},
 		},
 	}
 }
