End a stream whose engine sends bytes but no further event

Cause: the limit on silence was the read deadline of the engine's connection, set anew before each read, so that any byte extended it. The limit between the last event and the last chunk had the same fault.

Change: upstream.eventWait counts the time spent in reads since the last complete event with data and gives each read what is left of the limit. Time in which a blocked client keeps the gateway from reading does not count. 512 KiB without the end of an event break a stream, for engines that send so fast that reads never wait. The cause in the log says how many bytes came since the last event.

--- a/internal/openai/front_test.go
+++ b/internal/openai/front_test.go
@@ -58,6 +58,11 @@
 
 // serveFront is like serve and also returns the front.
 func serveFront(t *testing.T, file string, members []core.Endpoint) (url string, c *core.Core, f *Front) {
+	return serveFrontWithPool(t, file, members, upstream.Options{ConnectTimeout: time.Second, ServerIdleTimeout: time.Minute})
+}
+
+// serveFrontWithPool is like serveFront with the given options of the connections to engines.
+func serveFrontWithPool(t *testing.T, file string, members []core.Endpoint, options upstream.Options) (url string, c *core.Core, f *Front) {
 	o, err := config.ParseOperator([]byte(file))
 	if err != nil {
 		t.Fatal(err)
@@ -66,8 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	pool := upstream.NewPool(upstream.Options{ConnectTimeout: time.Second, ServerIdleTimeout: time.Minute})
-	engine := upstream.NewClient(pool, func(kind string) upstream.Dialect {
+	engine := upstream.NewClient(upstream.NewPool(options), func(kind string) upstream.Dialect {
 		if kind == config.RoleOpenAI {
 			return Dialect{Key: "secret"}
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,7 +29,7 @@
 	ConnectTimeout       time.Duration
 	ServerIdleTimeout    time.Duration // engines close idle connections after this at the latest
 	MaxConns             int           // maximum open connections, over all engines
-	StreamSilenceTimeout time.Duration // a stream that receives no byte for this long is aborted
+	StreamSilenceTimeout time.Duration // a stream without a further event for this long is aborted
 	ReadBuffer           int           // bytes per connection; 0 = minReadBuffer
 	ReuseDelay           time.Duration // from a response to the next request on its connection; 0 = none. See get
 	// Dial opens a connection; nil for net.Dialer. Tests inject a network with faults.
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -23,8 +24,7 @@
 	dialect         Dialect
 	opener          Opener // set until the answer has begun; nil if the dialect has none
 	preambleScanner sse.Scanner
-	silenceTimeout  time.Duration
-	readDeadline    time.Time // as last set, once the answer has begun
+	wait            eventWait
 	lines           lineFilter
 	unary           bool // a single body of any type, not events
 	answerBegun     bool
@@ -47,6 +47,9 @@
 	c.SetDeadline(deadline) // an engine may send its response head long before the first event
 	s.readPreamble(p)
 	if s.answerBegun {
+		if s.lastEventSeen {
+			s.wait.restart(lastChunkTimeout)
+		}
 		return s, core.Result{}
 	}
 	t.endAttempt(false)
@@ -65,7 +68,7 @@
 func (client *Client) newStream(t *attemptHandle, c *conn, resp *http.Response, p core.Payload, dialect Dialect) *stream {
 	s := &stream{
 		attemptHandle: t, conn: c, resp: resp, body: resp.Body, dialect: dialect,
-		silenceTimeout: client.pool.opt.StreamSilenceTimeout, unary: p.Unary, tailBuffer: tailBuffers.Get().(*[]byte),
+		wait: eventWait{limit: client.pool.opt.StreamSilenceTimeout}, unary: p.Unary, tailBuffer: tailBuffers.Get().(*[]byte),
 	}
 	s.tail = (*s.tailBuffer)[:0]
 	s.opener, _ = dialect.(Opener)
@@ -97,8 +100,7 @@
 		if s.err != nil {
 			return 0, s.finish(s.err)
 		}
-		s.setReadDeadline()
-		valid := s.readValid(p)
+		valid := s.readInTime(p)
 		// In most cases the valid bytes are in p already, so that copy moves nothing.
 		n := copy(p, valid)
 		if s.pending = append(s.pending[:0], valid[n:]...); n > 0 {
@@ -110,27 +112,24 @@
 	return n, nil
 }
 
-// setReadDeadline sets the deadline for the next read. A deadline that is close enough to the
-// required one stays, which saves a system call.
-func (s *stream) setReadDeadline() {
-	var deadline time.Time
-	switch now := time.Now(); {
-	case s.lastEventSeen:
-		deadline = now.Add(lastChunkTimeout)
-	// A failed machine does not close its connections: the timeout limits the wait of its clients.
-	case s.silenceTimeout > 0:
-		if deadline = now.Add(s.silenceTimeout); deadline.Sub(s.readDeadline) < s.silenceTimeout/readDeadlineResolution {
-			return
-		}
-	case s.answerBegun && s.readDeadline.IsZero():
-		s.readDeadline = now
-	default:
-		return
-	}
-	s.conn.SetReadDeadline(deadline)
-	if s.readDeadline = deadline; s.lastEventSeen {
-		s.readDeadline = time.Time{}
+// readInTime is readValid within the limit on the wait for the next event. A machine that has failed
+// does not close its connections, and an engine that hangs may go on sending comments. An answer in
+// one piece has no events, so that the limit applies to all of it.
+func (s *stream) readInTime(p []byte) []byte {
+	events, lastEventSeen, limit := s.lines.events, s.lastEventSeen, s.wait.limit
+	begin := time.Now()
+	s.wait.beginRead(s.conn, begin)
+	valid := s.readValid(p)
+	s.wait.endRead(time.Since(begin))
+	switch {
+	case errors.Is(s.err, os.ErrDeadlineExceeded):
+		s.err = &eventTimeoutError{limit: limit, bytes: s.lines.sinceEvent + len(s.lines.partialLine)}
+	case s.lastEventSeen && !lastEventSeen:
+		s.wait.restart(lastChunkTimeout)
+	case s.lines.events > events && !s.lastEventSeen:
+		s.wait.restart(limit)
 	}
+	return valid
 }
 
 // readValid reads into p and returns the valid part.
