Tell the last event of a stream by its line, not by bytes within a text

An answer ended by the close of its connection that broke soon after such a text was passed on as complete.

Cause: the stream searched the bytes of each read, and the kept end of the stream, for "data: [DONE]" anywhere. From then on the limit of 1 s between the last event and the last chunk was in force, or the end of the connection counted as that of the answer.

Change: the line filter, which all bytes of a stream pass, tells the last event: one data line whose whole value is [DONE]. JSON escapes line breaks, so no text can be such a line. The searches are gone.

--- a/internal/upstream/linefilter.go
+++ b/internal/upstream/linefilter.go
@@ -18,22 +18,44 @@
 )
 
 // lineFilter passes lines that are valid in an event stream, unchanged, and fails at any other. It
-// guards against an engine, or broken framing, that sends other bytes in place of events.
+// guards against an engine, or broken framing, that sends other bytes in place of events. It also
+// records which events have passed.
 type lineFilter struct {
 	partialLine   []byte // a line without its end
-	eventSeen     bool   // a complete event with data has passed
-	dataSeen      bool   // a data line of the incomplete event has passed
-	contentSeen   bool   // a data line of it is not blank
-	events        int    // complete events whose data is not blank
-	sinceEvent    int    // bytes of complete lines since the last of them
 	firstLineDone bool   // only the first line may begin with a byte order mark
+	event         partialEvent
+	eventSeen     bool // a complete event with data has passed
+	lastEventSeen bool // the event that ends a stream has passed
+	events        int  // complete events whose data is not blank, up to the last event
+	sinceEvent    int  // bytes of complete lines since the latest of them
+}
+
+// partialEvent is what is known of an event that has not ended.
+type partialEvent struct {
+	dataLines int
+	hasData   bool // a data line is not blank
+	isLast    bool // its only data line is that of the last event
 }
 
 var (
 	byteOrderMark = []byte("\xEF\xBB\xBF")
 	dataField     = []byte("data:")
+	lastEventData = []byte("[DONE]")
 )
 
+// addLine records a line of the event. Only a data line counts: a text that quotes the last event is
+// a part of one.
+func (e *partialEvent) addLine(line []byte) {
+	data, isData := bytes.CutPrefix(line, dataField)
+	if !isData {
+		return
+	}
+	data = bytes.TrimSpace(data)
+	e.dataLines++
+	e.hasData = e.hasData || len(data) > 0
+	e.isLast = e.dataLines == 1 && bytes.Equal(data, lastEventData)
+}
+
 // filter returns the bytes that may be forwarded after the arrival of p. The result is valid until
 // the next call.
 func (f *lineFilter) filter(p []byte) ([]byte, error) {
@@ -56,7 +78,7 @@
 		if line[len(line)-1] != '\n' {
 			break
 		}
-		f.trackEvent(line)
+		f.trackLine(line)
 		f.firstLineDone = true
 		validSize += size
 		if f.sinceEvent > maxSinceEvent {
@@ -74,34 +96,44 @@
 	return p[:validSize], nil
 }
 
-// trackEvent records where events end: an empty line ends one. A client cannot use a part of an
-// event.
-func (f *lineFilter) trackEvent(line []byte) {
+// trackLine records a complete line. An empty line ends an event.
+func (f *lineFilter) trackLine(line []byte) {
 	f.sinceEvent += len(line)
-	if content := bytes.TrimRight(line, "\r\n"); len(content) > 0 {
-		if data, isData := bytes.CutPrefix(content, dataField); isData {
-			f.dataSeen = true
-			f.contentSeen = f.contentSeen || len(bytes.TrimSpace(data)) > 0
-		}
+	if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		f.event.addLine(line)
 		return
 	}
-	f.eventSeen = f.eventSeen || f.dataSeen
-	if f.contentSeen {
+	f.endEvent()
+}
+
+// endEvent records the end of an event. A client cannot use a part of an event.
+func (f *lineFilter) endEvent() {
+	event := f.event
+	f.event = partialEvent{}
+	f.eventSeen = f.eventSeen || event.dataLines > 0
+	if event.hasData && !f.lastEventSeen {
 		f.events++
 		f.sinceEvent = 0
 	}
-	f.dataSeen, f.contentSeen = false, false
+	f.lastEventSeen = f.lastEventSeen || event.isLast
 }
 
-// flush returns a last line without a line end. If the stream is complete, its end also completes
-// the event.
-func (f *lineFilter) flush(complete bool) []byte {
+// flush returns a last line without a line end.
+func (f *lineFilter) flush() []byte {
 	last := f.partialLine
 	f.partialLine = nil
-	f.eventSeen = f.eventSeen || complete && (f.dataSeen || bytes.HasPrefix(last, dataField))
+	f.event.addLine(last)
 	return last
 }
 
+// endStream records that the engine has ended the stream, which also ends its event. If only the
+// close of the connection marks that end, it might be a break: then only the last event is complete.
+func (f *lineFilter) endStream(framed bool) {
+	if framed || f.event.isLast {
+		f.endEvent()
+	}
+}
+
 // validPrefix reports whether a line, or the beginning of one, may occur in an event stream.
 func (f *lineFilter) validPrefix(line []byte) bool {
 	if line[0] == ':' || line[0] == '\r' || line[0] == '\n' {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -29,7 +28,6 @@
 	unary           bool // a single body of any type, not events
 	answerBegun     bool
 	pending         []byte // valid, and not yet read
-	lastEventSeen   bool   // the last event has been forwarded
 	tail            []byte
 	tailBuffer      *[]byte // from tailBuffers, to be returned
 	err             error
@@ -47,7 +45,7 @@
 	c.SetDeadline(deadline) // an engine may send its response head long before the first event
 	s.readPreamble(p)
 	if s.answerBegun {
-		if s.lastEventSeen {
+		if s.lines.lastEventSeen {
 			s.wait.restart(lastChunkTimeout)
 		}
 		return s, core.Result{}
@@ -116,7 +114,7 @@
 // does not close its connections, and an engine that hangs may go on sending comments. An answer in
 // one piece has no events, so that the limit applies to all of it.
 func (s *stream) readInTime(p []byte) []byte {
-	events, lastEventSeen, limit := s.lines.events, s.lastEventSeen, s.wait.limit
+	events, lastEventSeen, limit := s.lines.events, s.lines.lastEventSeen, s.wait.limit
 	begin := time.Now()
 	s.wait.beginRead(s.conn, begin)
 	valid := s.readValid(p)
@@ -124,9 +122,9 @@
 	switch {
 	case errors.Is(s.err, os.ErrDeadlineExceeded):
 		s.err = &eventTimeoutError{limit: limit, bytes: s.lines.sinceEvent + len(s.lines.partialLine)}
-	case s.lastEventSeen && !lastEventSeen:
+	case s.lines.lastEventSeen && !lastEventSeen:
 		s.wait.restart(lastChunkTimeout)
-	case s.lines.events > events && !s.lastEventSeen:
+	case s.lines.events > events:
 		s.wait.restart(limit)
 	}
 	return valid
@@ -144,9 +142,12 @@
 	}
 	if err != nil && (errors.Is(err, io.EOF) || failureStatus(err) == routing.StatusReset) {
 		// Bytes that arrived before a break are forwarded.
-		if last := s.lines.flush(errors.Is(err, io.EOF) && s.framed()); len(last) > 0 {
+		if last := s.lines.flush(); len(last) > 0 {
 			valid = append(slices.Clone(valid), last...)
 		}
+		if errors.Is(err, io.EOF) {
+			s.lines.endStream(s.framed())
+		}
 	}
 	s.err = err
 	s.recordTail(valid)
@@ -191,15 +192,8 @@
 	if len(s.tail) > 2*tailSize {
 		s.tail = append(s.tail[:0], s.tail[len(s.tail)-tailSize:]...)
 	}
-	s.lastEventSeen = s.lastEventSeen || bytes.Contains(p[max(0, len(p)-lastEventWindow):], lastEvent)
 }
 
-// lastEventWindow is the number of bytes at the end of a read in which the last event is searched
-// for.
-const lastEventWindow = 1 << 10
-
-var lastEvent = []byte("data: [DONE]")
-
 // framed reports whether the end of the stream is marked other than by a close of the connection.
 func (s *stream) framed() bool { return s.resp.ContentLength >= 0 || len(s.resp.TransferEncoding) > 0 }
 
@@ -208,7 +202,7 @@
 		return err
 	}
 	framed := s.framed()
-	if errors.Is(err, io.EOF) && !framed && !bytes.Contains(s.tail, lastEvent) {
+	if errors.Is(err, io.EOF) && !framed && !s.lines.lastEventSeen {
 		err = io.ErrUnexpectedEOF
 	}
 	if errors.Is(err, io.EOF) {
