Reject a reloaded file that lacks any key, and repeat nothing by default

Without discovery the watch moved back to the address of the process's start.

Cause: a reload required four keys of a class that were listed one by one, so that all others took their zero values; and the zero values of effect and scope were those that permit the most.

Change: a reload compares the keys of the running text with those of the new one at every depth and rejects the file with the path of the first that is missing; null and the empty string count as missing, classes are compared by name, known and seed are left out. A missing or unknown effect, or group of a guarded class, permits no repetition, in a first file too. A configuration that the core rejects no longer moves discovery.

--- a/cmd/wellgw/platformgateway.go
+++ b/cmd/wellgw/platformgateway.go
@@ -102,21 +102,22 @@
 	if err != nil {
 		return err
 	}
-	g.config = next
-	g.applySettings(ctx, next.Settings(), process)
-	g.watch.SetAddress(next.Discovery)
+	g.apply(ctx, next, process)
 	return nil
 }
 
-// applySettings applies set, the settings in g.config, to the core, the front and the process. The core
-// validates them; settings that it rejects change nothing.
-func (g *platformGateway) applySettings(ctx context.Context, set routing.Settings, process *supervisor) {
+// apply applies a configuration to the core, the front, the process and the watch of discovery. The core
+// validates its settings; a configuration that it rejects changes nothing.
+func (g *platformGateway) apply(ctx context.Context, next *config.Platform, process *supervisor) {
+	set := next.Settings()
 	if err := g.core.Reconfigure(ctx, set); err != nil {
 		g.gateway.log.Error("settings rejected, keeping previous", "cause", err)
 		return
 	}
+	g.config = next
 	g.front.AddClasses(classNames(set.Classes))
-	process.post(ctx, lifecycle.SettingsChanged{MaxFirstEventWait: g.config.MaxFirstTokenWait()}, "settings")
+	process.post(ctx, lifecycle.SettingsChanged{MaxFirstEventWait: next.MaxFirstTokenWait()}, "settings")
+	g.watch.SetAddress(next.Discovery)
 	g.gateway.log.Info("settings applied", "classes", len(set.Classes), "attempts", set.MaxAttempts)
 }
 
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -59,7 +59,7 @@
 
 	Options settings.Options `json:"settings"`
 
-	present presentKeys // the required keys that the text has; see presentKeys
+	keys jsonObject // the text, for a comparison of its keys
 }
 
 // Defaults of the limits: those of the platform's scored days.
@@ -129,7 +129,7 @@
 			*field = v
 		}
 	}
-	p.present = presentKeysOf(raw)
+	p.keys = decodeKeys(raw)
 	p.Limits.setDefaults()
 	for _, a := range []struct{ field, value string }{{"listen", p.Listen}, {"discovery", p.Discovery}} {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,11 +86,33 @@
 	"read": routing.RolePrefill, "write": routing.RoleDecode, "both": routing.RoleMixed,
 }
 
-var effects = map[string]routing.Effect{
-	"": routing.EffectIdempotent, "free": routing.EffectIdempotent, "guarded": routing.EffectDeduplicated,
+// Effects and groups of a class in the document.
+const (
+	EffectFree    = "free"
+	EffectGuarded = "guarded"
+
+	groupAll  = "all"
+	groupZone = "zone"
+	groupCell = "cell"
+	groupBay  = "bay" // another name of a cell
+)
+
+var groups = map[string]routing.DedupScope{
+	groupAll: routing.DedupAllEngines, groupZone: routing.DedupZone, groupCell: routing.DedupCell, groupBay: routing.DedupCell,
 }
 
-var groups = map[string]routing.DedupScope{"zone": routing.DedupZone, "cell": routing.DedupCell, "bay": routing.DedupCell}
+// effect returns the effect of a class and the scope in which its duplicates are dropped. An effect, or the
+// group of a guarded class, that is missing or unknown must not permit a repetition.
+func effect(name, group string) (routing.Effect, routing.DedupScope) {
+	scope, groupKnown := groups[group]
+	switch {
+	case name == EffectFree:
+		return routing.EffectIdempotent, scope
+	case name == EffectGuarded && groupKnown:
+		return routing.EffectDeduplicated, scope
+	}
+	return routing.EffectAtMostOnce, scope
+}
 
 // Settings returns the settings of the routing policy.
 func (o *Options) Settings() routing.Settings {
@@ -107,15 +129,12 @@
 			(slices.Contains(o.Report.Columns, "queue") || slices.Contains(o.Report.Columns, "x1")),
 	}
 	for i, c := range o.Classes {
-		effect, known := effects[c.Effect]
-		if !known {
-			effect = routing.EffectAtMostOnce
-		}
+		classEffect, scope := effect(c.Effect, c.Group)
 		s.Classes = append(s.Classes, routing.Class{
 			Name: c.Name, FirstTokenObjective: Micros(c.Aim), PriorityWeight: c.Gain,
 			FirstTokenPerPromptToken: time.Duration(atOrZero(o.Info.AimPer1000, i)), // us per 1,000 = ns per 1
 			TokenIntervalObjective:   Micros(int64(atOrZero(o.Info.TokenAim, i))),
-			Effect:                   effect, DedupScope: groups[c.Group], DedupWindow: Micros(c.Window),
+			Effect:                   classEffect, DedupScope: scope, DedupWindow: Micros(c.Window),
 		})
 	}
 	for i, k := range o.Kinds {
