Reopen a watch of discovery whose list stops in the middle

A list that stops in the middle, while heartbeats go on, was read for as long as they came, and the drain that it announced was never learned.

Cause: the idle timeout of the watch was set anew at each byte, also within a list.

Evidence: TestWatchWithIncompleteListIsReopened on the former program: no further call to discovery within a minute, both for the first list of a watch and for one behind another.

Change: a list must be complete 4 s after its first byte; heartbeats between lists extend the time as before.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -178,6 +178,35 @@
 	}
 }
 
+// A watch whose list stops in the middle, while heartbeats go on, used to be read for as long as they came:
+// the drain that the list announced was never learned.
+func TestWatchWithIncompleteListIsReopened(t *testing.T) {
+	const drain = `{"revision":43,"complete":false,"members":[{"id":"a","phase":"leaving"}]}` + "\n"
+	for name, first := range map[string]string{
+		"first list": drain[:40], "list behind another": `{"revision":42,"complete":false,"members":[]}` + "\n" + drain[:40],
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			queries, got := watchFakeDiscovery(t, func(n int, w http.ResponseWriter, r *http.Request) {
+				text := first
+				if n > 1 {
+					text = drain + "]" // which ends the watch
+				}
+				for r.Context().Err() == nil {
+					io.WriteString(w, text)
+					w.(http.Flusher).Flush()
+					time.Sleep(100 * time.Millisecond)
+					text = "\n"
+				}
+			}).await(t, 4)
+			want := fmt.Sprint(routing.EngineListDelta, "a", routing.PhaseDraining)
+			if !slices.Contains(got, want) {
+				t.Errorf("queries %v, published %v; want %s", queries, got, want)
+			}
+		})
+	}
+}
+
 // recordPublished returns a publish function that appends each engine to got, as scope, name and phase.
 func recordPublished(mu *sync.Mutex, got *[]string) func(routing.EngineListScope, []core.Endpoint) {
 	return func(scope routing.EngineListScope, members []core.Endpoint) {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +25,7 @@
 const (
 	heartbeatInterval     = 2 * time.Second         // discovery sends a line at least this often
 	queuedResponseTimeout = 4500 * time.Millisecond // of a discovery that queues requests
+	listTimeout           = 4 * time.Second         // from the first byte of a list to its last
 	maxListBytes          = 4 << 20
 )
 
@@ -188,6 +190,7 @@
 			return lines, fmt.Errorf("watch: %w", err)
 		}
 		lines++
+		r.endList(lists.Buffered())
 		// The roster's changes include the engines that a complete list no longer contains, so a delta
 		// is enough. The first list of a stream is published even if it changes nothing.
 		if changed := w.roster.Apply(l); len(changed) > 0 || lines == 1 {
@@ -196,12 +199,14 @@
 	}
 }
 
-// listReader reads a stream of lists. Any byte, also that of an empty line, resets the idle timeout.
+// listReader reads a stream of lists. Any byte, also that of an empty line, extends the idle timeout, but
+// not past the time by which a list that has begun must be complete.
 type listReader struct {
-	from        io.Reader
-	idle        *time.Timer
-	idleTimeout time.Duration
-	remaining   int // bytes until the current list reaches maxListBytes
+	from         io.Reader
+	idle         *time.Timer
+	idleTimeout  time.Duration
+	remaining    int       // bytes until the current list reaches maxListBytes
+	listDeadline time.Time // of the list that has begun; zero if none has
 }
 
 func (r *listReader) Read(p []byte) (int, error) {
@@ -210,8 +215,28 @@
 	}
 	n, err := r.from.Read(p[:min(len(p), r.remaining)])
 	if n > 0 {
-		r.idle.Reset(r.idleTimeout)
 		r.remaining -= n
+		r.extend(p[:n])
 	}
 	return n, err
 }
+
+// extend extends the idle timeout after the arrival of some bytes.
+func (r *listReader) extend(arrived []byte) {
+	if r.listDeadline.IsZero() && len(bytes.TrimSpace(arrived)) > 0 {
+		r.listDeadline = time.Now().Add(listTimeout)
+	}
+	timeout := r.idleTimeout
+	if !r.listDeadline.IsZero() {
+		timeout = min(timeout, time.Until(r.listDeadline))
+	}
+	r.idle.Reset(timeout)
+}
+
+// endList records that a list is complete. rest has the bytes that have arrived after it.
+func (r *listReader) endList(rest io.Reader) {
+	r.listDeadline = time.Time{}
+	if arrived, err := io.ReadAll(rest); err == nil {
+		r.extend(arrived)
+	}
+}
