--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -50,9 +50,8 @@
 
 // Limits on the size of responses and the time to read them.
 const (
-	maxHead          = 64 << 10 // bytes of a response head, with the part of the body that arrives with it
-	maxResponse      = 64 << 10 // bytes of a response that is not a stream
-	tailSize         = 4 << 10
+	maxHead          = 64 << 10    // bytes of a response head, with the part of the body that arrives with it
+	maxResponse      = 64 << 10    // bytes of a response that is not a stream
 	headTimeout      = time.Second // to read a response head after its first byte, and to read a short body
 	lastChunkTimeout = time.Second // from the last event to the last chunk
 	// Time after an attempt's timeout for which a lingering attempt may stay open, and after which an
@@ -253,10 +252,7 @@
 // preambleSize is the size of the buffer for reads before the answer begins, in bytes.
 const preambleSize = 4 << 10
 
-var (
-	preambleBuffers = sync.Pool{New: func() any { return new([preambleSize]byte) }}
-	tailBuffers     = sync.Pool{New: func() any { b := make([]byte, 0, 2*tailSize); return &b }}
-)
+var preambleBuffers = sync.Pool{New: func() any { return new([preambleSize]byte) }}
 
 // failureStatus distinguishes a broken connection from a malformed or truncated response, whose
 // engine is up and has run the request. ETIMEDOUT is a broken connection; an expired deadline of
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -28,8 +28,7 @@
 	unary           bool // a single body of any type, not events
 	answerBegun     bool
 	pending         []byte // valid, and not yet read
-	tail            []byte
-	tailBuffer      *[]byte // from tailBuffers, to be returned
+	tail            streamTail
 	err             error
 	finished        bool  // finish has been called
 	engineError     error // reported by the engine within the stream
@@ -66,9 +65,8 @@
 func (client *Client) newStream(t *attemptHandle, c *conn, resp *http.Response, p core.Payload, dialect Dialect) *stream {
 	s := &stream{
 		attemptHandle: t, conn: c, resp: resp, body: resp.Body, dialect: dialect,
-		wait: eventWait{limit: client.pool.opt.StreamSilenceTimeout}, unary: p.Unary, tailBuffer: tailBuffers.Get().(*[]byte),
+		wait: eventWait{limit: client.pool.opt.StreamSilenceTimeout}, unary: p.Unary, tail: newStreamTail(),
 	}
-	s.tail = (*s.tailBuffer)[:0]
 	s.opener, _ = dialect.(Opener)
 	if slices.Contains(resp.TransferEncoding, "chunked") {
 		s.body = &chunked{reader: c.buffered}
@@ -150,7 +148,7 @@
 		}
 	}
 	s.err = err
-	s.recordTail(valid)
+	s.tail.record(valid)
 	return valid
 }
 
@@ -182,18 +180,6 @@
 	}
 }
 
-// recordTail stores the last part of the forwarded bytes, which contains the usage figures.
-func (s *stream) recordTail(p []byte) {
-	if excess := len(p) - 2*tailSize; excess > 0 {
-		s.tail = append(s.tail[:0], p[excess:]...)
-	} else {
-		s.tail = append(s.tail, p...)
-	}
-	if len(s.tail) > 2*tailSize {
-		s.tail = append(s.tail[:0], s.tail[len(s.tail)-tailSize:]...)
-	}
-}
-
 // framed reports whether the end of the stream is marked other than by a close of the connection.
 func (s *stream) framed() bool { return s.resp.ContentLength >= 0 || len(s.resp.TransferEncoding) > 0 }
 
@@ -207,16 +193,12 @@
 	}
 	if errors.Is(err, io.EOF) {
 		s.result.Status = routing.StatusServed
-		s.dialect.Tail(s.tail, &s.result)
+		s.dialect.Tail(s.tail.bytes, &s.result)
 	} else {
 		s.result.Status, s.result.Cause = failureStatus(err), err
 	}
 	s.finished = true
-	if cap(s.tail) <= 4*tailSize {
-		*s.tailBuffer = s.tail[:0]
-		tailBuffers.Put(s.tailBuffer)
-	}
-	s.tail = nil
+	s.tail.release()
 	s.endAttempt(err == io.EOF && framed && !s.resp.Close)
 	return err
 }
