Keep connections to engines silent before reuse on both fronts, checked at the write

Cause: the delay of 30 ms before a connection to an engine is reused was an option that only the platform's front set. On the chat API a second answer that came some milliseconds late was read as the answer to the next request, also of another team. On either front bytes and closes that came between taking a connection and writing the call went unnoticed.

Change: the delay is the pool's own and has no option. writeCall checks the connection again right before the write; an attempt then takes another one. A response to a reused connection of whose call the engine's end has acknowledged no byte ends the attempt as one that may have run. attemptHandle has a file of its own. TestStaleConnectionsAreNotUsed: "fresh" said that a connection is reused at once, which is the fault; it now says that it is not, and the closed one is past the delay.

--- a/cmd/wellgw/platformgateway.go
+++ b/cmd/wellgw/platformgateway.go
@@ -25,9 +25,6 @@
 	// The platform's protocol allows held states to exceed their limit by 50 ms, as it does for every
 	// time limit, plus 300 ms for this one.
 	platformHeldStateSlack = 350 * time.Millisecond
-	// On the platform an engine may send a duplicate of its answer some milliseconds later. A connection is
-	// not reused before that.
-	platformReuseDelay = 30 * time.Millisecond
 )
 
 // platformGateway provides the parts of a gateway that are specific to the platform.
@@ -52,7 +49,7 @@
 		coreLimits: core.Limits{DeadlineSlack: settings.Micros(p.Options.Rules.AnswerSlack), HeldStateSlack: platformHeldStateSlack},
 		pool: upstream.Options{
 			ConnectTimeout: settings.Micros(p.Options.Limits.ConnTimeout), ServerIdleTimeout: settings.Micros(p.Options.Limits.ConnIdle),
-			StreamSilenceTimeout: platformStreamSilenceTimeout, ReuseDelay: platformReuseDelay,
+			StreamSilenceTimeout: platformStreamSilenceTimeout,
 		},
 		dialect:  func(string) upstream.Dialect { return platform.Dialect{} },
 		newFront: g.newFront, newDirectory: g.newDirectory,
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -12,7 +12,6 @@
 	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"wellgw/internal/core"
@@ -76,94 +75,6 @@
 	return &Client{pool: p, dialect: dialect, releaseSlots: map[string]*releaseSlots{}}
 }
 
-// attemptHandle is an attempt in flight. The function that clears conn must close or pool the
-// connection.
-type attemptHandle struct {
-	mu      sync.Mutex
-	conn    *conn
-	closed  bool
-	writing bool // the first byte may have been written
-	cancel  context.CancelFunc
-	pool    *Pool
-
-	firstByte atomic.Pointer[core.FirstByte] // nil until a byte has arrived
-}
-
-// FirstByte implements core.Handle.
-func (t *attemptHandle) FirstByte() (core.FirstByte, bool) {
-	first := t.firstByte.Load()
-	if first == nil {
-		return core.FirstByte{}, false
-	}
-	return *first, true
-}
-
-// recordFirstByte records that the response to the attempt has begun to arrive on its connection.
-func (t *attemptHandle) recordFirstByte(c *conn) {
-	t.firstByte.CompareAndSwap(nil, &core.FirstByte{Connection: c.id, At: time.Now()})
-}
-
-// setConn records the connection in use. It returns false if the attempt has been cancelled.
-func (t *attemptHandle) setConn(c *conn) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.conn = c
-	return !t.closed
-}
-
-// beginWrite records that the first byte is about to be written. It returns false if the attempt
-// has been cancelled.
-func (t *attemptHandle) beginWrite() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.writing = !t.closed
-	return t.writing
-}
-
-// Cancel implements core.Handle.
-func (t *attemptHandle) Cancel() { t.abort() }
-
-// Withdraw implements core.Handle.
-func (t *attemptHandle) Withdraw() bool {
-	t.mu.Lock()
-	writing := t.writing
-	t.closed = t.closed || !writing
-	t.mu.Unlock()
-	if !writing {
-		t.abort()
-	}
-	return !writing
-}
-
-// abort cancels the attempt. The engine notices the cancellation by the close of the connection.
-func (t *attemptHandle) abort() {
-	t.mu.Lock()
-	c := t.conn
-	t.conn, t.closed = nil, true
-	t.mu.Unlock()
-	t.cancel()
-	if c != nil {
-		t.pool.discard(c, closedAbandoned)
-	}
-}
-
-// endAttempt ends the attempt. With reuse, its connection returns to the pool; otherwise it is
-// closed. After abort there is no connection.
-func (t *attemptHandle) endAttempt(reuse bool) {
-	t.mu.Lock()
-	c := t.conn
-	t.conn, t.closed = nil, true
-	t.mu.Unlock()
-	t.cancel()
-	switch {
-	case c == nil:
-	case reuse:
-		t.pool.put(c)
-	default:
-		t.pool.discard(c, closedFailed)
-	}
-}
-
 // Start starts an attempt; see core.Transport.
 func (client *Client) Start(a core.Attempt, first func(core.Stream), ended func(core.Result)) core.Handle {
 	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout+attemptGracePeriod)
@@ -210,13 +121,10 @@
 func (client *Client) sendAttempt(
 	ctx context.Context, t *attemptHandle, a core.Attempt, dialect Dialect, deadline time.Time,
 ) (*conn, *core.Result) {
-	started := time.Now()
-	c, err := client.pool.get(ctx, a.Endpoint.Addr)
-	if err != nil {
-		return nil, &core.Result{Status: routing.StatusConnectFailed, Cause: err}
-	}
-	if !t.setConn(c) { // the caller closes c
-		return nil, &core.Result{Status: routing.StatusCancelled, Cause: context.Canceled}
+	ends := time.Now().Add(a.Timeout)
+	c, failure := client.connectAttempt(ctx, t, a.Endpoint.Addr)
+	if failure != nil {
+		return nil, failure
 	}
 	if a.Connected != nil {
 		a.Connected()
@@ -224,13 +132,23 @@
 	if a.ClientGone != nil && a.ClientGone() {
 		return nil, &core.Result{Status: routing.StatusNotSent, Cause: errClientGone}
 	}
-	if !t.beginWrite() {
-		return nil, &core.Result{Status: routing.StatusCancelled, Cause: context.Canceled}
-	}
-	c.SetDeadline(deadline)
-	a.Timeout -= time.Since(started) // the engine receives the remaining time
-	if err := writeCall(c, dialect.Attempt(a)); err != nil {
-		return nil, &core.Result{Status: routing.StatusConnectFailed, Cause: err}
+	for {
+		if !t.beginWrite() {
+			return nil, &core.Result{Status: routing.StatusCancelled, Cause: context.Canceled}
+		}
+		c.SetDeadline(deadline)
+		a.Timeout = time.Until(ends) // the engine receives the remaining time
+		err := writeCall(c, dialect.Attempt(a))
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, errNotReusable) {
+			return nil, &core.Result{Status: routing.StatusConnectFailed, Cause: err}
+		}
+		t.dropUnwritten()
+		if c, failure = client.connectAttempt(ctx, t, a.Endpoint.Addr); failure != nil {
+			return nil, failure
+		}
 	}
 	if a.Written != nil {
 		a.Written(core.WriteRecord{Connection: c.id, At: time.Now()})
@@ -238,6 +156,18 @@
 	return c, nil
 }
 
+// connectAttempt gets a connection for an attempt.
+func (client *Client) connectAttempt(ctx context.Context, t *attemptHandle, addr string) (*conn, *core.Result) {
+	c, err := client.pool.get(ctx, addr)
+	if err != nil {
+		return nil, &core.Result{Status: routing.StatusConnectFailed, Cause: err}
+	}
+	if !t.setConn(c) { // the caller closes c
+		return nil, &core.Result{Status: routing.StatusCancelled, Cause: context.Canceled}
+	}
+	return c, nil
+}
+
 // readUnary reads a response that is not a stream.
 func readUnary(t *attemptHandle, dialect Dialect, resp *http.Response) core.Result {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
@@ -266,9 +196,16 @@
 	return routing.StatusError
 }
 
+// errNotReusable means that an idle connection was closed, or received bytes, before a call was written.
+var errNotReusable = errors.New("the idle connection was closed or received bytes")
+
 // writeCall writes a call with one vectored write, which does not copy its body. It returns an
-// error only if the last byte was not written.
+// error only if the last byte was not written. It writes nothing to a connection that was closed, or
+// received bytes, since it was taken from the pool: some time may have passed.
 func writeCall(c *conn, call Call) error {
+	if c.reused && !openAndEmpty(c.Conn) {
+		return errNotReusable
+	}
 	var head bytes.Buffer
 	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + c.addr + "\r\n")
 	for _, h := range call.Header {
@@ -279,14 +216,17 @@
 	}
 	head.WriteString("\r\n")
 	buffers := net.Buffers{head.Bytes(), call.Body}
-	size := int64(head.Len() + len(call.Body))
-	if n, err := buffers.WriteTo(c.Conn); n < size {
+	c.callSize = head.Len() + len(call.Body)
+	if n, err := buffers.WriteTo(c.Conn); n < int64(c.callSize) {
 		return err
 	}
 	return nil
 }
 
-var errNotHTTP = errors.New("not an HTTP/1 response")
+var (
+	errNotHTTP       = errors.New("not an HTTP/1 response")
+	errEarlyResponse = errors.New("the response was sent before the request arrived: it belongs to an earlier request")
+)
 
 // readResponseHead reads a response head and skips interim (1xx) ones. It waits until the deadline
 // for the first byte of each head, then at most headTimeout for the remainder: an engine that sends
@@ -300,6 +240,9 @@
 		if _, err := c.buffered.Peek(1); err != nil {
 			return nil, err
 		}
+		if c.respondedBeforeCall() {
+			return nil, errEarlyResponse
+		}
 		if onFirstByte != nil {
 			onFirstByte()
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,7 +12,6 @@
 	"log/slog"
 	"math"
 	"net"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,7 +30,6 @@
 	MaxConns             int           // maximum open connections, over all engines
 	StreamSilenceTimeout time.Duration // a stream without a further event for this long is aborted
 	ReadBuffer           int           // bytes per connection; 0 = minReadBuffer
-	ReuseDelay           time.Duration // from a response to the next request on its connection; 0 = none. See get
 	// Dial opens a connection; nil for net.Dialer. Tests inject a network with faults.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Log  *slog.Logger // logs each closed connection at level debug; nil for no log
@@ -45,6 +43,10 @@
 	minReadBuffer          = 4 << 10
 	connectTimeoutFraction = 0.95 // of the connect timeout, so that the gateway's own timeout expires first
 
+	// reuseDelay is the time for which a connection must have been silent after a response before it carries
+	// another request. An engine may send a response a second time, some milliseconds late.
+	reuseDelay = 30 * time.Millisecond
+
 	initialReconnectBackoff = 5 * time.Millisecond   // after a transient local failure; doubles
 	maxReconnectTime        = 150 * time.Millisecond // limit on the total time of these retries
 )
@@ -65,19 +67,23 @@
 	retireAt   time.Time // if set, the connection is closed when it is idle after this time
 	reused     bool      // it has carried an exchange before
 	afterProbe bool      // its last response was to a probe, which engines never send twice
+	callSize   int       // bytes of the last call written
 }
 
 // Pool keeps idle connections to engines.
 type Pool struct {
-	opt    Options
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	open   int
-	lastID heldstate.ConnectionNumber
+	opt        Options
+	reuseDelay time.Duration
+	mu         sync.Mutex
+	idle       map[string][]*conn
+	open       int
+	lastID     heldstate.ConnectionNumber
 }
 
 // NewPool returns an empty pool. Idle connections are closed only while Sweep runs.
-func NewPool(opt Options) *Pool { return &Pool{opt: opt, idle: map[string][]*conn{}} }
+func NewPool(opt Options) *Pool {
+	return &Pool{opt: opt, reuseDelay: reuseDelay, idle: map[string][]*conn{}}
+}
 
 // Sweep closes stale idle connections until ctx ends, then all idle ones.
 func (p *Pool) Sweep(ctx context.Context) {
@@ -135,8 +141,8 @@
 }
 
 // get returns an idle connection that its engine has not closed, or a new one. It skips a
-// connection whose last response arrived within Options.ReuseDelay: the engine may send that
-// response a second time, which could not be distinguished from the response to the next request.
+// connection whose last response arrived within reuseDelay: the engine may send that response a
+// second time, which could not be distinguished from the response to the next request.
 func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
 	return p.getWithTimeout(ctx, addr, p.connectTimeout())
 }
@@ -163,7 +169,7 @@
 	now := time.Now()
 	for i := len(p.idle[addr]) - 1; i >= 0; i-- {
 		c := p.idle[addr][i] // newest first, so that older ones become stale and are closed
-		if !c.afterProbe && p.opt.ReuseDelay > 0 && now.Sub(c.idleSince) < p.opt.ReuseDelay {
+		if !c.afterProbe && now.Sub(c.idleSince) < p.reuseDelay {
 			continue
 		}
 		if p.idle[addr] = slices.Delete(p.idle[addr], i, i+1); len(p.idle[addr]) == 0 {
@@ -323,28 +329,3 @@
 	p.open--
 	p.logClosed(c, reason)
 }
-
-// openAndEmpty reports whether a connection is open with nothing to read. A connection that its
-// engine has closed, or on which it has sent unexpected bytes, is not reused.
-func openAndEmpty(nc net.Conn) bool {
-	var b [1]byte
-	sc, ok := nc.(syscall.Conn)
-	if !ok { // not backed by a socket: read without blocking
-		if nc.SetReadDeadline(time.Now()) != nil {
-			return false
-		}
-		_, err := nc.Read(b[:])
-		return errors.Is(err, os.ErrDeadlineExceeded) && nc.SetReadDeadline(time.Time{}) == nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(e, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
