Check a file of idempotency keys before bbolt follows its references

Cause: bbolt follows sizes and references without checks, and its own check runs in a goroutine in which a fault ends the process. Leaving the loop over its findings early unmapped the file under it. A damaged bucket name gave an empty table that counted as complete.

--- a/internal/idempotency/file.go
+++ b/internal/idempotency/file.go
@@ -56,6 +56,9 @@
 			closeDamaged(db)
 		}
 	}()
+	if err := checkFile(path); err != nil {
+		return nil, content{}, err
+	}
 	db, err = bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout})
 	if err != nil {
 		if isDamage(err) {
@@ -95,8 +98,8 @@
 // readAndMarkInUse checks the database and reads its entries. It creates missing buckets, writes the
 // format version, and removes the mark of a cleanly closed file.
 func readAndMarkInUse(tx *bbolt.Tx, now bootclock.Moment) (content, error) {
-	for damage := range tx.Check() {
-		return content{}, fmt.Errorf("%w: %w", errDamaged, damage)
+	if err := checkReferences(tx); err != nil {
+		return content{}, err
 	}
 	meta, err := tx.CreateBucketIfNotExists(bucketMeta)
 	if err != nil {
@@ -120,6 +123,17 @@
 	return c, meta.Delete(metaClean)
 }
 
+// checkReferences checks that each page is either free or in use once, and the order of keys. It waits for
+// the end of the check, which runs in a goroutine of its own and reads memory that a close would unmap.
+func checkReferences(tx *bbolt.Tx) (err error) {
+	for damage := range tx.Check() {
+		if err == nil {
+			err = fmt.Errorf("%w: %w", errDamaged, damage)
+		}
+	}
+	return err
+}
+
 func readEntries(keys *bbolt.Bucket, now bootclock.Moment) (entries []deduplication.Entry, err error) {
 	err = keys.ForEach(func(name, raw []byte) error {
 		e, err := decodeRecord(raw, now)
--- a/internal/idempotency/store_test.go
+++ b/internal/idempotency/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -203,8 +204,9 @@
 	begin(t, next, "before", deduplication.PriorOutcomeUnknown)
 }
 
-// With damage anywhere in the file (every 61st byte is tested), Open either succeeds or returns an error that
-// names the idempotency file, and a retry under a key of the file is not run.
+// With damage anywhere in the file, Open either succeeds or returns an error that names the idempotency
+// file, and a retry under a key of the file is not run. The bytes at the beginning of each page and every
+// 61st of the others are tested. Damage to sizes and references used to end the process.
 func TestDamageAtAnyByte(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "keys")
 	s := open(t, path)
@@ -217,7 +219,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for at := 0; at < len(intact); at += 61 {
+	const headBytes = 64 // the header of a page and of its first elements
+	for at := 0; at < len(intact); at++ {
+		if at%os.Getpagesize() >= headBytes && at%61 != 0 {
+			continue
+		}
 		for _, damage := range []func([]byte) []byte{
 			func(b []byte) []byte { b[at] ^= 0xff; return b },
 			func(b []byte) []byte { return b[:at] },
@@ -242,3 +248,44 @@
 		}
 	}
 }
+
+// Damage to the sizes and references in the pages of a large file neither ends the process nor loses keys:
+// either all keys are read, or the file is renamed.
+func TestDamageToPagesOfManyKeys(t *testing.T) {
+	const keys, everyPage = 400, 5
+	path := filepath.Join(t.TempDir(), "keys")
+	s := open(t, path)
+	for i := range keys {
+		name := fmt.Sprint("key number ", i)
+		begin(t, s, name, deduplication.Run)
+		s.End(newRequest(name).Key, "id"+name, deduplication.OutcomeCompleted, "text/plain", []byte("an answer"))
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	intact, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	renamed := 0
+	for page := 0; page < len(intact); page += everyPage * os.Getpagesize() {
+		for _, offset := range []int{0, 8, 10, 14, 17, 21, 25, 30} { // of the header, and of the first element
+			damagedPath := filepath.Join(t.TempDir(), "keys")
+			damaged := append([]byte(nil), intact...)
+			damaged[page+offset] ^= 0xff
+			if err := os.WriteFile(damagedPath, damaged, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			s := open(t, damagedPath)
+			if found, _ := s.Counts(); found == 0 {
+				renamed++
+			} else if found != keys {
+				t.Errorf("page at %d, byte %d: %d keys of %d were read", page, offset, found, keys)
+			}
+			_ = s.Close()
+		}
+	}
+	if renamed == 0 {
+		t.Error("no damage was noticed")
+	}
+}
