Store keys before their orders run, and keep the time of uncertainty in the file

Cause: keys reached the disk up to 50 ms after the order had left; that keys may be missing was known to one process alone, whose clean end vouched for a table with gaps; a missing file counted as proof that there had been no earlier process.

Change: Store.Begin returns Run once the record is on disk, with group commit (commit.go). The file holds the moment from which keys may be missing (uncertainty.go). Tests that said otherwise are replaced: a file closed by an earlier version, and a new one, no longer prove anything, and a failed write refuses the request itself instead of those after it.

--- a/decide/deduplication/golden_test.go
+++ b/decide/deduplication/golden_test.go
@@ -130,7 +130,11 @@
 				entries = append(entries, stored[k])
 			}
 			table = newTable()
-			table.Restore(now, entries, rng.IntN(2) == 0)
+			uncertainty := limits.UncertaintyPeriod
+			if rng.IntN(2) == 0 {
+				uncertainty = 0
+			}
+			table.Restore(now, entries, uncertainty)
 			clear(running)
 			for i := range entries { // running requests were interrupted
 				if e := &entries[i]; e.State == StateRunning {
--- a/decide/deduplication/limits.go
+++ b/decide/deduplication/limits.go
@@ -14,7 +14,7 @@
 	MaxAnswerBytes      int           // a larger answer is not stored
 	Retention           time.Duration // time from the end of a request to the removal of its entry
 	MinRetention        time.Duration // minimum retention, even if capacity is exhausted
-	// UncertaintyPeriod is the time after a restart that may have lost entries in which a retry with an
+	// UncertaintyPeriod is the time after a start that may have lost entries in which a retry with an
 	// unseen key is not run.
 	UncertaintyPeriod time.Duration
 }
--- a/decide/deduplication/table.go
+++ b/decide/deduplication/table.go
@@ -15,8 +15,8 @@
 	entries     map[Key]*Entry
 	teams       map[string]*teamUsage // teams that have entries
 	answerBytes int64                 // total size of all stored answers
-	// uncertainUntil is the latest time at which entries that were lost in the restart would have been
-	// removed. Until then, an unseen key may be one of them.
+	// uncertainUntil is the latest time at which entries that were lost would have been removed. Until
+	// then, an unseen key may be one of them.
 	uncertainUntil  time.Time
 	refusals        map[string]*refusalHistory // by team
 	removed         []Key                      // see PopRemoved
@@ -43,12 +43,10 @@
 	}, nil
 }
 
-// Restore adds the entries of an earlier process. Requests that were running then were interrupted. clean
-// reports whether that process was shut down cleanly, so that no entry is missing.
-func (t *Table) Restore(now time.Time, entries []Entry, clean bool) {
-	if !clean {
-		t.uncertainUntil = now.Add(t.limits.UncertaintyPeriod)
-	}
+// Restore adds the entries of an earlier process. Requests that were running then were interrupted.
+// uncertainty is how much longer entries may be missing; 0 if none is.
+func (t *Table) Restore(now time.Time, entries []Entry, uncertainty time.Duration) {
+	t.uncertainUntil = now.Add(min(uncertainty, t.limits.UncertaintyPeriod))
 	for _, e := range entries {
 		t.restoreEntry(now, e)
 	}
@@ -84,7 +82,7 @@
 	// An unremembered attempt may have been sent to another gateway, or to this one before a restart.
 	// Attempts that this gateway refused did not run.
 	if r.RetryCount > t.refusals[r.Key.Team].count(now, r.Key.Name) &&
-		(r.MayHaveRunOnOtherGateway || now.Before(t.uncertainUntil)) {
+		(r.MayHaveRunOnOtherGateway || t.Uncertain(now)) {
 		return PriorOutcomeUnknown, Entry{Key: r.Key}
 	}
 	if !t.ensureCapacity(now, r.Key.Team) {
@@ -142,6 +140,9 @@
 	t.refusals[k.Team].record(now, k.Name)
 }
 
+// Uncertain reports whether entries of an earlier process may be missing.
+func (t *Table) Uncertain(now time.Time) bool { return now.Before(t.uncertainUntil) }
+
 // PopRemoved returns the keys removed since the previous call, so that the caller can remove them from disk.
 func (t *Table) PopRemoved() []Key {
 	removed := t.removed
--- a/decide/deduplication/table_test.go
+++ b/decide/deduplication/table_test.go
@@ -112,7 +112,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			tb := newTestTable(t, nil)
-			tb.Restore(t0, nil, c.cleanShutdown)
+			uncertainty := time.Duration(0)
+			if !c.cleanShutdown {
+				uncertainty = tb.limits.UncertaintyPeriod
+			}
+			tb.Restore(t0, nil, uncertainty)
 			request := newRequest("a", "k", "d")
 			request.RetryCount, request.MayHaveRunOnOtherGateway = c.retryCount, c.otherGateways
 			if decision, _ := tb.Begin(t0.Add(c.after), request); decision != c.want {
@@ -126,7 +130,7 @@
 // if other gateways exist.
 func TestRetryAfterRefusal(t *testing.T) {
 	tb := newTestTable(t, nil)
-	tb.Restore(t0, nil, false)
+	tb.Restore(t0, nil, tb.limits.UncertaintyPeriod)
 	begin := func(at time.Duration, retry int) Decision {
 		request := newRequest("a", "k", "d")
 		request.RetryCount, request.MayHaveRunOnOtherGateway = retry, true
@@ -186,7 +190,7 @@
 	tb.Restore(t0, []Entry{
 		entry("ran", StateRunning, time.Second, ""), entry("done", StateComplete, time.Hour, "yes"), entry("old", StateComplete, 25*time.Hour, "yes"),
 		entry("ahead", StateComplete, -time.Hour, "yes"), entry("done", StateUnknown, time.Hour, ""),
-	}, true)
+	}, 0)
 	for k, want := range map[string]Decision{"ran": PriorOutcomeUnknown, "done": Replay, "old": Run, "ahead": Replay} {
 		if decision, _ := tb.Begin(t0, newRequest("a", k, "d")); decision != want {
 			t.Errorf("%s: decision %v, want %v", k, decision, want)
@@ -299,7 +303,7 @@
 					stored = append(stored, *e)
 				}
 				restarted := newTestTable(t, func(l *Limits) { *l = tb.limits })
-				restarted.Restore(now, stored, true)
+				restarted.Restore(now, stored, 0)
 				tb = restarted
 				for k := range runningIDs {
 					model[k].running, model[k].mayHaveRunAt = false, now
--- a/internal/idempotency/file.go
+++ b/internal/idempotency/file.go
@@ -11,7 +11,6 @@
 	bolterrors "go.etcd.io/bbolt/errors"
 
 	"wellgw/decide/deduplication"
-	"wellgw/internal/bootclock"
 )
 
 const (
@@ -19,14 +18,23 @@
 	fileMode    = 0o600           // the file contains answers
 )
 
-// Buckets, keys and values of the database. metaClean is set in a file that was closed cleanly.
+// Buckets, keys and values of the database.
+//
+// metaClean has cleanValue in a file that was closed cleanly by a process that stored each key before
+// its request ran. Earlier versions stored keys later and wrote "yes"; a file with that value may lack
+// keys of a process before the last, as those versions did not store metaUncertain.
+//
+// metaUncertain is noUncertainty, or the moment, as JSON, from which keys may be missing; see
+// uncertainty.go.
 var (
 	bucketMeta    = []byte("meta")
 	bucketKeys    = []byte("keys")
 	metaClean     = []byte("clean")
+	metaUncertain = []byte("uncertain")
 	metaFormat    = []byte("format")
 	formatVersion = []byte("1")
-	cleanValue    = []byte("yes")
+	cleanValue    = []byte("write-ahead")
+	noUncertainty = []byte("none")
 )
 
 var errDamaged = errors.New("the file is damaged")
@@ -36,14 +44,15 @@
 
 // content is the content of a file when it was opened.
 type content struct {
-	entries []deduplication.Entry
-	clean   bool // the file was closed cleanly
+	entries     []deduplication.Entry
+	clean       bool          // the file was closed cleanly
+	uncertainty time.Duration // how much longer keys may be missing; 0 if none is
 }
 
-// openFile opens the file at path, reads all of it, and marks it as in use. now returns the current
-// moment, from which ages are calculated. An error wraps errDamaged if this package can't have written
+// openFile opens the file at path, reads all of it, and marks it as in use. Keys may be missing for uncertaintyPeriod after a start at which
+// the file can't prove that it is complete. An error wraps errDamaged if this package can't have written
 // the content of the file.
-func openFile(path string, now func() bootclock.Moment) (f *file, c content, err error) {
+func openFile(path string, c clock, uncertaintyPeriod time.Duration) (f *file, stored content, err error) {
 	// On damaged pages, bbolt panics or causes a memory fault, as it maps the file into memory.
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	var db *bbolt.DB
@@ -52,7 +61,7 @@
 			err = fmt.Errorf("%w: %v", errDamaged, p)
 		}
 		if err != nil {
-			f, c = nil, content{}
+			f, stored = nil, content{}
 			closeDamaged(db)
 		}
 	}()
@@ -66,13 +75,13 @@
 		}
 		return nil, content{}, err
 	}
-	moment := now()
+	opened := c.now()
 	err = db.Update(func(tx *bbolt.Tx) error {
 		var err error
-		c, err = readAndMarkInUse(tx, moment)
+		stored, err = readAndMarkInUse(tx, opened, uncertaintyPeriod)
 		return err
 	})
-	return &file{db}, c, err
+	return &file{db}, stored, err
 }
 
 // closeDamaged closes db, which may be damaged or nil. It ignores a panic of bbolt.
@@ -96,8 +105,8 @@
 }
 
 // readAndMarkInUse checks the database and reads its entries. It creates missing buckets, writes the
-// format version, and removes the mark of a cleanly closed file.
-func readAndMarkInUse(tx *bbolt.Tx, now bootclock.Moment) (content, error) {
+// format version and the uncertainty, and removes the mark of a cleanly closed file.
+func readAndMarkInUse(tx *bbolt.Tx, now instant, uncertaintyPeriod time.Duration) (content, error) {
 	if err := checkReferences(tx); err != nil {
 		return content{}, err
 	}
@@ -117,6 +126,9 @@
 		return content{}, err
 	}
 	c := content{entries: entries, clean: string(meta.Get(metaClean)) == string(cleanValue)}
+	if c.uncertainty, err = updateUncertainty(meta, c.clean, now.boot, uncertaintyPeriod); err != nil {
+		return content{}, err
+	}
 	if err := meta.Put(metaFormat, formatVersion); err != nil {
 		return content{}, err
 	}
@@ -134,7 +146,7 @@
 	return err
 }
 
-func readEntries(keys *bbolt.Bucket, now bootclock.Moment) (entries []deduplication.Entry, err error) {
+func readEntries(keys *bbolt.Bucket, now instant) (entries []deduplication.Entry, err error) {
 	err = keys.ForEach(func(name, raw []byte) error {
 		e, err := decodeRecord(raw, now)
 		if err != nil {
@@ -149,9 +161,14 @@
 // changes holds the entries to be written, by key; nil removes the key.
 type changes map[deduplication.Key]*deduplication.Entry
 
-// write writes pending in one transaction. now is the current moment. final marks the file as cleanly
-// closed.
-func (f *file) write(pending changes, now bootclock.Moment, final bool) error {
+// closing says how a file is closed.
+type closing struct {
+	complete bool // no key can be missing any more
+}
+
+// write writes pending in one transaction, which is on disk when it returns. With a closing, it marks the
+// file as cleanly closed.
+func (f *file) write(pending changes, now instant, end *closing) error {
 	return f.db.Update(func(tx *bbolt.Tx) error {
 		keys := tx.Bucket(bucketKeys)
 		for key, e := range pending {
@@ -159,14 +176,20 @@
 				return err
 			}
 		}
-		if final {
-			return tx.Bucket(bucketMeta).Put(metaClean, cleanValue)
+		if end == nil {
+			return nil
 		}
-		return nil
+		meta := tx.Bucket(bucketMeta)
+		if end.complete {
+			if err := meta.Put(metaUncertain, noUncertainty); err != nil {
+				return err
+			}
+		}
+		return meta.Put(metaClean, cleanValue)
 	})
 }
 
-func writeEntry(keys *bbolt.Bucket, key deduplication.Key, e *deduplication.Entry, now bootclock.Moment) error {
+func writeEntry(keys *bbolt.Bucket, key deduplication.Key, e *deduplication.Entry, now instant) error {
 	if e == nil {
 		return keys.Delete(databaseKey(key))
 	}
--- a/internal/idempotency/record.go
+++ b/internal/idempotency/record.go
@@ -41,11 +41,25 @@
 // zero byte separates the team name from them unambiguously.
 func databaseKey(k deduplication.Key) []byte { return []byte(k.Team + "\x00" + k.Name) }
 
-// encodeRecord returns the stored form of an entry. now is the current moment.
-func encodeRecord(e deduplication.Entry, now bootclock.Moment) ([]byte, error) {
+// clock reads the wall clock and the boot clock.
+type clock struct {
+	wall func() time.Time
+	boot func() bootclock.Moment // the zero value if it is unknown
+}
+
+// instant is a point in time by both clocks.
+type instant struct {
+	wall time.Time
+	boot bootclock.Moment
+}
+
+func (c clock) now() instant { return instant{wall: c.wall(), boot: c.boot()} }
+
+// encodeRecord returns the stored form of an entry.
+func encodeRecord(e deduplication.Entry, now instant) ([]byte, error) {
 	body, err := jsoniter.Marshal(record{
 		Key: recordKey(e.Key), Digest: e.Digest, State: e.State, Since: e.Since, ID: e.RequestID, Type: e.ContentType,
-		Answer: e.Answer, At: now.Ago(time.Since(e.Since)),
+		Answer: e.Answer, At: now.boot.Ago(now.wall.Sub(e.Since)),
 	})
 	if err != nil {
 		return nil, err
@@ -56,7 +70,7 @@
 // decodeRecord returns the entry of a record, with Since set by its age at now. The age is unknown if the
 // machine has been rebooted or an earlier version wrote the record. Such an entry gets age 0, so that it
 // is retained too long rather than removed too early.
-func decodeRecord(raw []byte, now bootclock.Moment) (deduplication.Entry, error) {
+func decodeRecord(raw []byte, now instant) (deduplication.Entry, error) {
 	if len(raw) < checksumBytes || binary.BigEndian.Uint64(raw) != xxhash.Sum64(raw[checksumBytes:]) {
 		return deduplication.Entry{}, errChecksum
 	}
@@ -64,9 +78,9 @@
 	if err := jsoniter.Unmarshal(raw[checksumBytes:], &r); err != nil {
 		return deduplication.Entry{}, err
 	}
-	age, _ := now.Since(r.At)
+	age, _ := now.boot.Since(r.At)
 	return deduplication.Entry{
-		Key: deduplication.Key(r.Key), Digest: r.Digest, State: r.State, Since: time.Now().Add(-age), RequestID: r.ID,
+		Key: deduplication.Key(r.Key), Digest: r.Digest, State: r.State, Since: now.wall.Add(-age), RequestID: r.ID,
 		ContentType: r.Type, Answer: r.Answer,
 	}, nil
 }
--- a/internal/idempotency/store.go
+++ b/internal/idempotency/store.go
@@ -2,10 +2,11 @@
 // stored on disk, so that they survive a restart. decide/deduplication decides whether a request under a
 // key is run; Store makes its table safe for concurrent use and writes it to disk.
 //
-// The file is a bbolt database (file.go). Changes are written every FlushInterval, in one transaction.
-// The file records whether it was closed cleanly: after a crash, the changes since the last flush may be
-// missing, and decide/deduplication refuses retries under unseen keys for a while. Each record has a
-// checksum (record.go). A damaged file is renamed, and a new one is created.
+// The file is a bbolt database (file.go). A request under a new key is run only once its record is on
+// disk; records that arrive during a write are written together in the next one (commit.go). Other changes
+// are written every FlushInterval. The file records whether it was closed cleanly and from when on keys may
+// be missing: decide/deduplication refuses retries under unseen keys for a while after a start that may have
+// lost some. Each record has a checksum (record.go). A damaged file is renamed, and a new one is created.
 package idempotency
 
 import (
@@ -22,7 +23,7 @@
 )
 
 const (
-	// FlushInterval is how often changes are written to the file.
+	// FlushInterval is how often changes are written to the file for which no request waits.
 	FlushInterval = 50 * time.Millisecond
 	// expireInterval is how often keys past their retention are removed.
 	expireInterval = time.Minute
@@ -32,10 +33,16 @@
 type Store struct {
 	log    *slog.Logger
 	limits deduplication.Limits
+	clock  clock
+
+	// writing is held during a write, so that changes reach the file in order. It is locked before mu.
+	writing sync.Mutex
 
 	mu           sync.Mutex
 	table        *deduplication.Table
-	pending      changes // changes since the last flush
+	pending      changes // changes since the last write
+	batch        *batch  // the requests that wait for pending to be written; nil if none does
+	committing   bool    // commitBatches runs
 	file         *file   // nil if none is configured, and after Close
 	writeFailing bool    // the last write failed
 }
@@ -44,69 +51,91 @@
 // disk. A damaged file is renamed, and the error is logged. Open returns an error for invalid limits and
 // for a file that can't be opened.
 func Open(path string, l deduplication.Limits, log *slog.Logger) (*Store, error) {
+	return openStore(path, l, log, clock{wall: time.Now, boot: func() bootclock.Moment { return bootMoment(log) }})
+}
+
+func openStore(path string, l deduplication.Limits, log *slog.Logger, c clock) (*Store, error) {
 	table, err := deduplication.NewTable(l)
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{log: log, limits: l, table: table, pending: changes{}}
+	s := &Store{log: log, limits: l, clock: c, table: table, pending: changes{}}
 	if path == "" {
-		table.Restore(time.Now(), nil, false) // the keys of an earlier process are lost
+		table.Restore(c.wall(), nil, l.UncertaintyPeriod) // the keys of an earlier process are lost
 		return s, nil
 	}
 	stored, err := s.openFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("idempotency file: %w", err)
 	}
-	table.Restore(time.Now(), stored.entries, stored.clean)
-	log.Info("idempotency keys loaded", "file", path, "keys", len(stored.entries), "clean", stored.clean)
+	table.Restore(c.wall(), stored.entries, stored.uncertainty)
+	log.Info("idempotency keys loaded", "file", path, "keys", len(stored.entries), "clean", stored.clean,
+		"refusing unseen retries for", stored.uncertainty.Round(time.Second).String())
 	return s, nil
 }
 
 // openFile opens the file at path, or a new one in place of a damaged one.
 func (s *Store) openFile(path string) (stored content, err error) {
-	_, statErr := os.Stat(path)
-	isNew := errors.Is(statErr, os.ErrNotExist)
-	s.file, stored, err = openFile(path, s.bootMoment)
+	s.file, stored, err = openFile(path, s.clock, s.limits.UncertaintyPeriod)
 	if errors.Is(err, errDamaged) {
 		renamed := fmt.Sprintf("%s.damaged-%d", path, time.Now().Unix())
 		if renameErr := os.Rename(path, renamed); renameErr != nil {
 			return content{}, errors.Join(err, renameErr)
 		}
 		s.log.Error("idempotency file damaged and renamed, refusing retries under unseen keys for a while", "file", renamed, "cause", err)
-		s.file, stored, err = openFile(path, s.bootMoment)
-		stored.clean, isNew = false, false
-	}
-	if err != nil {
-		return content{}, err
+		s.file, stored, err = openFile(path, s.clock, s.limits.UncertaintyPeriod)
 	}
-	stored.clean = stored.clean || isNew // without an earlier process, no keys can be missing
-	return stored, nil
+	return stored, err
 }
 
 // Begin decides whether to run a request; see deduplication.Table. After deduplication.Run, the caller
-// must call End. While writing the file fails, no request is run, since a process that starts after a
-// kill would find no key of it.
+// must call End. With a file, that decision is returned once the request's record is on disk, so that a
+// process that starts after a kill finds it. If it can't be written, the request is not run.
 func (s *Store) Begin(r deduplication.Request) (deduplication.Decision, deduplication.Entry) {
+	decision, e, waiting := s.begin(r)
+	if decision != deduplication.Run || waiting == nil || waiting.wait() == nil {
+		return decision, e
+	}
+	return s.refuse(r)
+}
+
+// begin is Begin without the wait for the disk: it returns the batch of the request's record, nil if there
+// is no file.
+func (s *Store) begin(r deduplication.Request) (deduplication.Decision, deduplication.Entry, *batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	decision, e := s.table.Begin(time.Now(), r)
-	if decision == deduplication.Run && s.writeFailing {
-		s.table.End(time.Now(), r.Key, r.RequestID, deduplication.OutcomeNotRun, "", nil)
-		s.trackRemoved()
-		return deduplication.CapacityExceeded, deduplication.Entry{Key: r.Key}
-	}
+	decision, e := s.table.Begin(s.clock.wall(), r)
 	s.trackRemoved()
-	if decision == deduplication.Run {
-		s.trackChanged(e)
+	if decision != deduplication.Run || s.file == nil {
+		return decision, e, nil
+	}
+	if s.writeFailing {
+		decision, e = s.refuseLocked(r)
+		return decision, e, nil
 	}
-	return decision, e
+	s.trackChanged(e)
+	return decision, e, s.joinBatch()
+}
+
+// refuse withdraws a request that Begin would have run.
+func (s *Store) refuse(r deduplication.Request) (deduplication.Decision, deduplication.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refuseLocked(r)
+}
+
+// refuseLocked is refuse with s.mu held.
+func (s *Store) refuseLocked(r deduplication.Request) (deduplication.Decision, deduplication.Entry) {
+	s.table.End(s.clock.wall(), r.Key, r.RequestID, deduplication.OutcomeNotRun, "", nil)
+	s.trackRemoved()
+	return deduplication.CapacityExceeded, deduplication.Entry{Key: r.Key}
 }
 
 // End records the outcome of a request that Begin decided to run; see deduplication.Table.
 func (s *Store) End(key deduplication.Key, requestID string, outcome deduplication.Outcome, contentType string, answer []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, stored := s.table.End(time.Now(), key, requestID, outcome, contentType, answer)
+	e, stored := s.table.End(s.clock.wall(), key, requestID, outcome, contentType, answer)
 	s.trackRemoved()
 	if stored {
 		s.trackChanged(e)
@@ -117,7 +146,7 @@
 func (s *Store) RecordRefusal(key deduplication.Key) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.RecordRefusal(time.Now(), key)
+	s.table.RecordRefusal(s.clock.wall(), key)
 }
 
 // MaxAnswerBytes returns the maximum size of an answer that is stored.
@@ -174,7 +203,7 @@
 // flushAndLog flushes changes and reports whether that failed. It logs the first failure and the
 // recovery.
 func (s *Store) flushAndLog(wasFailing bool) (failing bool) {
-	err := s.flush(false)
+	err := s.flush()
 	if err != nil && !wasFailing {
 		s.log.Error("idempotency file write failed, refusing requests under new keys", "cause", err)
 	}
@@ -187,60 +216,15 @@
 func (s *Store) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Expire(time.Now())
+	s.table.Expire(s.clock.wall())
 	s.trackRemoved()
 }
 
-// flush writes the pending changes to the file; after an error the next flush retries them. final marks
-// the file as cleanly closed. s.mu is not held during the write.
-func (s *Store) flush(final bool) error {
-	s.mu.Lock()
-	pending, f := s.pending, s.file
-	if f == nil || len(pending) == 0 && !final {
-		s.mu.Unlock()
-		return nil
-	}
-	s.pending = changes{}
-	s.mu.Unlock()
-	err := f.write(pending, s.bootMoment(), final)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.writeFailing = err != nil
-	if err != nil {
-		s.restorePending(pending)
-	}
-	return err
-}
-
-// restorePending adds unwritten changes to the pending ones again, except for keys with a newer change.
-// s.mu must be held.
-func (s *Store) restorePending(unwritten changes) {
-	for key, e := range unwritten {
-		if _, newer := s.pending[key]; !newer {
-			s.pending[key] = e
-		}
-	}
-}
-
 // bootMoment returns the current moment, or the zero value, with which ages are unknown.
-func (s *Store) bootMoment() bootclock.Moment {
+func bootMoment(log *slog.Logger) bootclock.Moment {
 	m, err := bootclock.Now()
 	if err != nil {
-		s.log.Warn("boot clock unavailable, keeping idempotency keys for longer", "cause", err)
+		log.Warn("boot clock unavailable, keeping idempotency keys for longer", "cause", err)
 	}
 	return m
 }
-
-// Close writes the pending changes and closes the file. A request that is still running is stored as
-// running; the next process treats its outcome as unknown.
-func (s *Store) Close() error {
-	err := s.flush(true)
-	s.mu.Lock()
-	f := s.file
-	s.file = nil
-	s.mu.Unlock()
-	if f == nil {
-		return err
-	}
-	return errors.Join(err, f.close())
-}
--- a/internal/idempotency/store_test.go
+++ b/internal/idempotency/store_test.go
@@ -51,6 +51,7 @@
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
+	ageUncertainty(t, path, deduplication.DefaultLimits().UncertaintyPeriod)
 	s = open(t, path)
 	defer s.Close()
 	if e := begin(t, s, "completed", deduplication.Replay); string(e.Answer) != "data: x\n\n" || e.ContentType != "text/event-stream" || e.RequestID != "idcompleted" {
@@ -66,13 +67,13 @@
 	}
 }
 
-// A process that ends without closing the file may have lost the last keys, so a retry under an unseen
-// key is not run.
+// A process that ends without closing the file may have lost keys, so a retry under an unseen key is not
+// run.
 func TestCrashIsDetected(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "keys")
 	s := open(t, path)
 	begin(t, s, "written", deduplication.Run)
-	if err := s.flush(false); err != nil {
+	if err := s.flush(); err != nil {
 		t.Fatal(err)
 	}
 	begin(t, s, "lost", deduplication.Run)
@@ -82,10 +83,12 @@
 	s = open(t, path)
 	defer s.Close()
 	begin(t, s, "written", deduplication.PriorOutcomeUnknown)
-	lost := newRequest("lost")
-	lost.RetryCount = 1
-	if decision, _ := s.Begin(lost); decision != deduplication.PriorOutcomeUnknown {
-		t.Errorf("retry under a lost key: %v, want PriorOutcomeUnknown", decision)
+	for _, name := range []string{"lost", "unseen"} {
+		retry := newRequest(name)
+		retry.RetryCount = 1
+		if decision, _ := s.Begin(retry); decision != deduplication.PriorOutcomeUnknown {
+			t.Errorf("retry under the key %s: %v, want PriorOutcomeUnknown", name, decision)
+		}
 	}
 	begin(t, s, "new", deduplication.Run)
 }
@@ -162,7 +165,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := decodeRecord(append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(body)), body...), now)
+		got, err := decodeRecord(append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(body)), body...), instant{time.Now(), now})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -178,21 +181,24 @@
 	path := filepath.Join(t.TempDir(), "keys")
 	s := open(t, path)
 	begin(t, s, "before", deduplication.Run)
+	begin(t, s, "completed", deduplication.Run)
 	if err := s.file.close(); err != nil { // makes every write fail
 		t.Fatal(err)
 	}
-	if err := s.flush(false); err == nil {
+	s.End(newRequest("completed").Key, "idcompleted", deduplication.OutcomeCompleted, "text/plain", []byte("x"))
+	begin(t, s, "new", deduplication.CapacityExceeded) // its own write fails
+	if err := s.flush(); err == nil {
 		t.Fatal("flush to a closed file succeeded")
 	}
 	begin(t, s, "new", deduplication.CapacityExceeded)
 	begin(t, s, "new", deduplication.CapacityExceeded)
 	begin(t, s, "before", deduplication.InProgress)
-	reopened, _, err := openFile(path, s.bootMoment)
+	reopened, _, err := openFile(path, s.clock, s.limits.UncertaintyPeriod)
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.file = reopened // makes writes succeed again
-	if err := s.flush(false); err != nil {
+	if err := s.flush(); err != nil {
 		t.Fatal(err)
 	}
 	begin(t, s, "new", deduplication.Run)
@@ -202,6 +208,8 @@
 	next := open(t, path)
 	defer next.Close()
 	begin(t, next, "before", deduplication.PriorOutcomeUnknown)
+	begin(t, next, "completed", deduplication.Replay)
+	begin(t, next, "new", deduplication.PriorOutcomeUnknown)
 }
 
 // With damage anywhere in the file, Open either succeeds or returns an error that names the idempotency
--- a/internal/idempotency/stored_test.go
+++ b/internal/idempotency/stored_test.go
@@ -53,15 +53,16 @@
 }
 
 func TestStoredKeysAreRead(t *testing.T) {
-	for file, wantClean := range map[string]bool{"keys-closed.db": true, "keys-killed.db": false} {
+	const period = time.Minute
+	for _, file := range []string{"keys-closed.db", "keys-killed.db"} {
 		t.Run(file, func(t *testing.T) {
-			f, stored, err := openFile(storedCopy(t, file), open(t, "").bootMoment)
+			f, stored, err := openFile(storedCopy(t, file), open(t, "").clock, period)
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer f.close()
-			if stored.clean != wantClean {
-				t.Errorf("clean %v, want %v", stored.clean, wantClean)
+			if stored.clean || stored.uncertainty != period {
+				t.Errorf("clean %v, uncertain for %v: no file of that version proves that it has all keys", stored.clean, stored.uncertainty)
 			}
 			entries := stored.entries
 			for i := range entries {
@@ -78,7 +79,7 @@
 }
 
 func TestStoredKeysAreInForce(t *testing.T) {
-	for file, unseenRetry := range map[string]deduplication.Decision{"keys-closed.db": deduplication.Run, "keys-killed.db": deduplication.PriorOutcomeUnknown} {
+	for _, file := range []string{"keys-closed.db", "keys-killed.db"} {
 		t.Run(file, func(t *testing.T) {
 			s, err := Open(storedCopy(t, file), unlimitedAge(), slog.New(slog.DiscardHandler))
 			if err != nil {
@@ -100,7 +101,7 @@
 				{"team a", "kept not", "digest of kept not", 0, deduplication.AnswerUnavailable, "application/json", "", "1-kept not"},
 				{"team a", "broken", "digest of broken", 0, deduplication.PriorOutcomeUnknown, "", "", "1-broken"},
 				{"team a", "running", "digest of running", 0, deduplication.PriorOutcomeUnknown, "", "", "1-running"},
-				{"team a", "unseen", "d", 1, unseenRetry, "", "", ""},
+				{"team a", "unseen", "d", 1, deduplication.PriorOutcomeUnknown, "", "", ""},
 				{"team a", "refused", "d", 0, deduplication.Run, "", "", "3-refused"},
 			} {
 				req := deduplication.Request{Key: deduplication.Key{Team: c.team, Name: c.name}, Digest: c.digest, RequestID: "3-" + c.name, RetryCount: c.retry}
@@ -192,6 +193,21 @@
 	}
 }
 
+// checkUncertain checks the stored moment from which keys may be missing, which is a moment ago.
+func checkUncertain(t *testing.T, text string) {
+	t.Helper()
+	var began struct {
+		Boot string
+		Up   int64
+	}
+	if err := json.Unmarshal([]byte(text), &began); err != nil {
+		t.Fatal(err)
+	}
+	if now, err := bootclock.Now(); err == nil && (began.Boot != now.BootID || began.Up <= 0 || began.Up > int64(now.Uptime)) {
+		t.Errorf("uncertain since %+v, now %+v", began, now)
+	}
+}
+
 // TestFileFormat writes the entries of testdata to a new file and checks both files against the documented
 // format.
 func TestFileFormat(t *testing.T) {
@@ -223,8 +239,13 @@
 	for name, path := range map[string]string{"new": path, "stored": storedCopy(t, "keys-closed.db")} {
 		t.Run(name, func(t *testing.T) {
 			meta, records := readStored(t, path)
-			if len(meta) != 2 || meta["format"] != "1" || meta["clean"] != "yes" {
-				t.Errorf("metadata %q", meta)
+			want := map[string]string{"format": "1", "clean": "yes"}
+			if name == "new" {
+				want = map[string]string{"format": "1", "clean": "write-ahead", "uncertain": meta["uncertain"]}
+				checkUncertain(t, meta["uncertain"])
+			}
+			if diff := gocmp.Diff(want, meta); diff != "" {
+				t.Errorf("metadata (-want +got):\n%s", diff)
 			}
 			checkRecords(t, records, storedEntries)
 			if now, err := bootclock.Now(); err == nil && name == "new" {
@@ -258,7 +279,7 @@
 		{"after a reboot", bootclock.Moment{BootID: "c", Uptime: time.Hour}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			e, err := decodeRecord(raw, c.now)
+			e, err := decodeRecord(raw, instant{time.Now(), c.now})
 			if err != nil {
 				t.Fatal(err)
 			}
