Limit the memory of all answers that are collected, and hold about their bytes

Cause: the collector held a node with a map for each value of each event, some twenty times the answer, and answers were limited one by one only.

Change: elements of lists without an index are kept as bytes; whole answers, embeddings and responses reserve memory from one budget before they are sent to an engine (answerBudget), grow in it, and are refused with 503 if there is none in time.

--- a/cmd/wellgw/chatgateway.go
+++ b/cmd/wellgw/chatgateway.go
@@ -63,7 +63,7 @@
 
 func (g *chatGateway) newFront(c *core.Core, bodies *clientconn.Budget) front {
 	front := openai.NewFront(openai.Options{
-		Core: c, File: g.startupConfig, Bodies: bodies, Keys: g.keys, MaxBufferedBytes: memoryBytes(g.gateway.limits, streamBufferFraction),
+		Core: c, File: g.startupConfig, Bodies: bodies, Keys: g.keys, MaxBufferedBytes: memoryBytes(g.gateway.limits, streamBufferFraction), MaxAnswerBytes: memoryBytes(g.gateway.limits, answerFraction),
 		HasPeers: g.retriesMayReachOtherGateways,
 	})
 	g.front.Store(front)
--- a/cmd/wellgw/lateanswers_test.go
+++ b/cmd/wellgw/lateanswers_test.go
@@ -69,7 +69,18 @@
 // askChat sends one chat request with a key and returns the status and the body; 0 without an answer.
 func askChat(t *testing.T, url, key, question string, stream bool) (int, string) {
 	t.Helper()
-	body := fmt.Sprintf(`{"model":"m","stream":%v,"messages":[{"role":"user","content":%q}]}`, stream, question)
+	return postChatWithKey(t, url, key, fmt.Sprintf(`{"model":"m","stream":%v,"messages":[{"role":"user","content":%q}]}`, stream, question))
+}
+
+// postChatBody is postChatWithKey with the key of operatorConfig.
+func postChatBody(t *testing.T, url, body string) (int, string) {
+	t.Helper()
+	return postChatWithKey(t, url, "k", body)
+}
+
+// postChatWithKey sends a chat request and returns the status and the body; 0 without an answer.
+func postChatWithKey(t *testing.T, url, key, body string) (int, string) {
+	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		t.Error(err)
--- a/internal/openai/call.go
+++ b/internal/openai/call.go
@@ -28,9 +28,10 @@
 	arrived         time.Time
 	atMostOnce      bool // the request must not be executed twice
 	encoder         encoder
-	responseStarted bool      // the response headers or a part of the body have been sent
-	deadlineSetAt   time.Time // when the write deadline was last set
-	resumptions     int       // number of times that the answer was continued at another engine
+	responseStarted bool               // the response headers or a part of the body have been sent
+	deadlineSetAt   time.Time          // when the write deadline was last set
+	resumptions     int                // number of times that the answer was continued at another engine
+	memory          *answerReservation // for the part of the answer that the encoder holds; nil if it holds none
 
 	key            deduplication.Key
 	claimed        bool
@@ -131,6 +132,9 @@
 			if c.record(dst); err == nil && c.encoder.complete() {
 				c.markComplete()
 			}
+			if err == nil {
+				err = c.growMemory()
+			}
 			return dst, err
 		},
 		End: func(dst []byte) ([]byte, error) {
--- a/internal/openai/collector.go
+++ b/internal/openai/collector.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"slices"
 	"strconv"
 
 	"wellgw/decide/resume"
@@ -24,17 +25,25 @@
 	metadata metadata
 	scanner  sse.Scanner
 	root     node
-	size     int
+	size     int // bytes of events
+	held     int // approximate memory of root, in bytes
 	usage    []byte
 	state    resume.Progress
 }
 
+func newCollector(m metadata) *collector {
+	c := &collector{metadata: m}
+	c.root.held = &c.held
+	return c
+}
+
 func (c *collector) contentType() string        { return jsonType }
 func (c *collector) progress() *resume.Progress { return &c.state }
 func (c *collector) failure(e apiError) []byte  { return e.object() }
 func (c *collector) complete() bool             { return false }
 func (c *collector) discardPartial()            { c.scanner = sse.Scanner{} }
-func (c *collector) nextAttempt()               { *c = collector{metadata: c.metadata} }
+func (c *collector) nextAttempt()               { *c = *newCollector(c.metadata); c.root.held = &c.held }
+func (c *collector) heldBytes() int             { return c.held }
 
 func (c *collector) translate(dst, p []byte) ([]byte, error) {
 	return dst, c.scanner.Write(p, c.handleEvent)
@@ -48,7 +57,7 @@
 	if !c.state.Complete() {
 		return dst, errTruncated
 	}
-	return append(append(dst, c.body()...), '\n'), nil
+	return append(c.body(slices.Grow(dst, c.held)), '\n'), nil
 }
 
 // handleEvent merges one event.
@@ -87,7 +96,9 @@
 			if _, err := recordChoices(&c.state, text, false); err != nil {
 				return err
 			}
-			if err := c.root.member("choices").add(text, false); err != nil {
+			choices := c.root.member("choices")
+			choices.separate = true
+			if err := choices.add(text, false); err != nil {
 				return err
 			}
 		case "id", "object", "created", "model":
@@ -103,25 +114,25 @@
 	return nil
 }
 
-// body returns the merged answer.
-func (c *collector) body() []byte {
-	out := appendMember([]byte{'{'}, nameID, quote(c.metadata.id))
+// body appends the merged answer.
+func (c *collector) body(out []byte) []byte {
+	out = appendMember(append(out, '{'), nameID, quote(c.metadata.id))
 	out = appendMember(out, nameObject, quote(c.metadata.object))
 	out = appendMember(out, nameCreated, strconv.AppendInt(nil, c.metadata.created, 10))
 	out = appendMember(out, nameModel, quote(c.metadata.model))
-	list := []byte{'['}
+	out = append(appendName(out, []byte("choices")), '[')
 	if choices := c.root.members["choices"]; choices != nil {
 		for i, choice := range choices.sortedByIndex() {
 			if i > 0 {
-				list = append(list, ',')
+				out = append(out, ',')
 			}
-			list = appendChoice(list, choice)
+			out = appendChoice(out, choice)
 		}
 	}
-	out = appendMember(out, []byte("choices"), append(list, ']'))
+	out = append(out, ']')
 	for _, name := range c.root.names {
 		if name != "choices" {
-			out = appendMember(out, []byte(name), c.root.members[name].json(nil, false))
+			out = c.root.members[name].json(appendName(out, []byte(name)), false)
 		}
 	}
 	if c.usage != nil {
@@ -135,24 +146,29 @@
 	out = append(out, '{')
 	for _, name := range c.names {
 		if name != "delta" {
-			out = appendMember(out, []byte(name), c.members[name].json(nil, false))
+			out = c.members[name].json(appendName(out, []byte(name)), false)
 		}
 	}
 	if d := c.members["delta"]; d != nil && d.kind == objectNode {
-		m := appendMember([]byte{'{'}, []byte("role"), []byte(`"assistant"`))
-		if content := d.members["content"]; content == nil {
-			none := []byte(`""`)
-			if d.members["tool_calls"] != nil || d.members["refusal"] != nil || d.members["audio"] != nil || d.members["function_call"] != nil {
-				none = []byte("null")
-			}
-			m = appendMember(m, []byte("content"), none)
+		out = append(appendMessage(append(appendName(out, []byte("message")), '{'), d), '}')
+	}
+	return append(out, '}')
+}
+
+// appendMessage appends the members of a message: those of a merged delta.
+func appendMessage(out []byte, delta *node) []byte {
+	out = appendMember(out, []byte("role"), []byte(`"assistant"`))
+	if delta.members["content"] == nil {
+		none := []byte(`""`)
+		if delta.members["tool_calls"] != nil || delta.members["refusal"] != nil || delta.members["audio"] != nil || delta.members["function_call"] != nil {
+			none = []byte("null")
 		}
-		for _, name := range d.names {
-			if name != "role" {
-				m = appendMember(m, []byte(name), d.members[name].json(nil, name == "tool_calls"))
-			}
+		out = appendMember(out, []byte("content"), none)
+	}
+	for _, name := range delta.names {
+		if name != "role" {
+			out = delta.members[name].json(appendName(out, []byte(name)), name == "tool_calls")
 		}
-		out = appendMember(out, []byte("message"), append(m, '}'))
 	}
-	return append(out, '}')
+	return out
 }
--- a/internal/openai/encoder.go
+++ b/internal/openai/encoder.go
@@ -16,6 +16,9 @@
 	progress() *resume.Progress
 	// complete reports whether translate has returned the entire answer before the end of the stream.
 	complete() bool
+	// heldBytes returns the approximate number of bytes of the answer that the encoder holds until its
+	// end; 0 if it holds none.
+	heldBytes() int
 	// discardPartial drops the incomplete event at the end of a broken stream.
 	discardPartial()
 	// nextAttempt prepares for the stream of another engine, which continues the answer or, if
--- a/internal/openai/fields.go
+++ b/internal/openai/fields.go
@@ -103,7 +103,11 @@
 }
 
 // appendMember appends a member to out, an object that has no closing brace yet.
-func appendMember(out, name, value []byte) []byte {
+func appendMember(out, name, value []byte) []byte { return append(appendName(out, name), value...) }
+
+// appendName appends the name of a member to out, an object that has no closing brace yet. The caller
+// must append its value.
+func appendName(out, name []byte) []byte {
 	if out[len(out)-1] != '{' {
 		out = append(out, ',')
 	}
@@ -113,7 +117,7 @@
 	} else if quoted, err := codec.Marshal(string(name)); err == nil {
 		out = append(out, quoted[1:len(quoted)-1]...)
 	}
-	return append(append(out, `":`...), value...)
+	return append(out, `":`...)
 }
 
 // needsEscape reports whether a name that contains c must be encoded by the JSON codec.
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -42,6 +42,7 @@
 	Bodies           *clientconn.Budget
 	Keys             *idempotency.Store // of requests that must not be executed twice; nil disables idempotency keys
 	MaxBufferedBytes int64              // total for all slow clients and, separately, for all answers recorded while they are sent
+	MaxAnswerBytes   int64              // memory of all answers that are collected before they are sent; 0: they are collected one at a time
 	// HasPeers reports whether other gateways serve the same clients; nil means that none do.
 	HasPeers func() bool
 }
@@ -53,6 +54,7 @@
 	keys         *idempotency.Store
 	hasPeers     func() bool
 	bufferLimits *streambuffer.Limits
+	answers      *answerBudget
 	catalog      atomic.Pointer[catalog]
 	started      time.Time
 	service      atomic.Pointer[lifecycle.Service]
@@ -76,6 +78,7 @@
 	f := &Front{
 		core: o.Core, bodies: o.Bodies, keys: o.Keys, hasPeers: o.HasPeers, started: time.Now(),
 		bufferLimits: streambuffer.NewLimits(stallLimit, maxBufferPerClient, o.MaxBufferedBytes), maxRecordedBytes: o.MaxBufferedBytes,
+		answers: newAnswerBudget(o.MaxAnswerBytes),
 	}
 	f.SetService(lifecycle.FullService())
 	f.Reload(o.File)
@@ -216,6 +219,11 @@
 		}
 		defer c.releaseKey()
 	}
+	if err := c.reserveMemory(); err != nil {
+		c.refuseForMemory(err)
+		return
+	}
+	defer c.memory.release()
 	c.run()
 }
 
@@ -303,7 +311,7 @@
 	case a.path == embeddingPath:
 		return &passthrough{metadata: h}
 	case !a.stream:
-		return &collector{metadata: h}
+		return newCollector(h)
 	}
 	if a.path == chatPath {
 		h.object = "chat.completion.chunk"
--- a/internal/openai/front_test.go
+++ b/internal/openai/front_test.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f = NewFront(Options{Core: c, File: o, Bodies: clientconn.NewBudget(1 << 20), Keys: keys, MaxBufferedBytes: 1 << 20})
+	f = NewFront(Options{Core: c, File: o, Bodies: clientconn.NewBudget(1 << 20), Keys: keys, MaxBufferedBytes: 1 << 20, MaxAnswerBytes: 64 << 20})
 	server := httptest.NewUnstartedServer(f)
 	server.Config.ErrorLog = slog.NewLogLogger(log.Handler(), 0)
 	server.Start()
--- a/internal/openai/node.go
+++ b/internal/openai/node.go
@@ -18,14 +18,26 @@
 	listNode
 )
 
+// nodeBytes is the approximate memory of a node without its texts and lists.
+const nodeBytes = 384
+
 // node is a JSON value merged from the values of several events.
 type node struct {
 	kind    nodeKind
-	raw     []byte
+	raw     []byte // of a list, its first elements without an index, separated by commas
 	text    []byte // decoded
 	names   []string
 	members map[string]*node
 	items   []*node
+	held    *int // approximate memory of all nodes of the answer, in bytes
+	// separate: elements of a list without an index are nodes, as those with one.
+	separate bool
+}
+
+// newNode returns an empty node of the same answer.
+func (n *node) newNode() *node {
+	*n.held += nodeBytes
+	return &node{held: n.held}
 }
 
 // member returns the member of the given name, which it adds if there is none.
@@ -35,7 +47,8 @@
 	}
 	m := n.members[name]
 	if m == nil {
-		m = &node{}
+		m = n.newNode()
+		*n.held += len(name)
 		n.members[name] = m
 		n.names = append(n.names, name)
 	}
@@ -49,6 +62,7 @@
 	case 'n':
 		if n.kind == absentNode {
 			n.kind, n.raw = scalarNode, bytes.Clone(raw)
+			*n.held += len(raw)
 		}
 		return nil
 	case '"':
@@ -58,6 +72,7 @@
 		}
 		if n.kind = stringNode; concat || len(n.text) == 0 {
 			n.text = append(n.text, t...)
+			*n.held += len(t)
 		}
 		return nil
 	case '{':
@@ -75,6 +90,7 @@
 	case '[':
 		return n.elements(raw, concat)
 	}
+	*n.held += max(0, len(raw)-len(n.raw))
 	n.kind, n.raw = scalarNode, append(n.raw[:0], raw...)
 	return nil
 }
@@ -92,7 +108,7 @@
 }
 
 // elements merges a list: elements with the same index are merged, elements without an index are
-// appended.
+// appended as they are. An answer may have thousands of the latter, such as log probabilities.
 func (n *node) elements(raw []byte, concat bool) error {
 	n.kind = listNode
 	w := jsonscan.Array(raw)
@@ -102,34 +118,51 @@
 			return w.Err()
 		}
 		value := at.Of(raw)
-		var item *node
+		index, given := 0, false
 		if value[0] == '{' {
-			index, given, err := indexOf(value)
-			if err != nil {
+			var err error
+			if index, given, err = indexOf(value); err != nil {
 				return err
 			}
-			if given {
-				i := slices.IndexFunc(n.items, func(x *node) bool {
-					m := x.members["index"]
-					if m == nil {
-						return false
-					}
-					itemIndex, is := jsonscan.Int(m.raw)
-					return is && itemIndex == index
-				})
-				if i >= 0 {
-					item = n.items[i]
-				}
-			}
 		}
-		if item == nil {
-			item = &node{}
+		switch {
+		case given:
+			if err := n.item(index).add(value, concat); err != nil {
+				return err
+			}
+		case len(n.items) == 0 && !n.separate:
+			n.appendElement(value)
+		default:
+			item := n.newNode()
 			n.items = append(n.items, item)
+			if err := item.add(value, concat); err != nil {
+				return err
+			}
 		}
-		if err := item.add(value, concat); err != nil {
-			return err
+	}
+}
+
+// appendElement appends an element without an index to a list.
+func (n *node) appendElement(value []byte) {
+	if len(n.raw) > 0 {
+		n.raw = append(n.raw, ',')
+	}
+	n.raw = append(n.raw, value...)
+	*n.held += len(value) + 1
+}
+
+// item returns the element with the given index, which it adds if there is none.
+func (n *node) item(index int) *node {
+	for _, item := range n.items {
+		if m := item.members["index"]; m != nil {
+			if itemIndex, is := jsonscan.Int(m.raw); is && itemIndex == index {
+				return item
+			}
 		}
 	}
+	item := n.newNode()
+	n.items = append(n.items, item)
+	return item
 }
 
 // indexOf returns the value of an element's member "index"; given is false if there is none.
@@ -172,14 +205,14 @@
 		out = append(out, '{')
 		for _, name := range n.names {
 			if !withoutIndex || name != "index" {
-				out = appendMember(out, []byte(name), n.members[name].json(nil, false))
+				out = n.members[name].json(appendName(out, []byte(name)), false)
 			}
 		}
 		return append(out, '}')
 	case listNode:
-		out = append(out, '[')
+		out = append(append(out, '['), n.raw...)
 		for i, item := range n.sortedByIndex() {
-			if i > 0 {
+			if i > 0 || len(n.raw) > 0 {
 				out = append(out, ',')
 			}
 			out = item.json(out, withoutIndex)
--- a/internal/openai/output_item.go
+++ b/internal/openai/output_item.go
@@ -16,6 +16,9 @@
 	statusFailed     = "failed"
 )
 
+// outputItemBytes is the approximate memory of an item without its texts.
+const outputItemBytes = 384
+
 // outputItem is one item of a response's output.
 type outputItem struct {
 	id, kind     string // kind: messageItem, functionCallItem
--- a/internal/openai/passthrough.go
+++ b/internal/openai/passthrough.go
@@ -15,6 +15,7 @@
 func (p *passthrough) progress() *resume.Progress { return &p.state }
 func (p *passthrough) failure(e apiError) []byte  { return e.object() }
 func (p *passthrough) complete() bool             { return false }
+func (p *passthrough) heldBytes() int             { return len(p.body) }
 func (p *passthrough) discardPartial()            {}
 func (p *passthrough) nextAttempt()               { *p = passthrough{metadata: p.metadata} }
 
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -31,6 +31,7 @@
 	maxMessages         = 2048
 	maxChoices          = 128
 	maxInputs           = 2048 // prompts or inputs per call
+	maxAlternatives     = 20   // log probabilities per token besides its own
 
 	imageTokensLow     = 85
 	imageTokensHigh    = 765
@@ -58,9 +59,13 @@
 	stream         bool
 	includeUsage   bool // the client requested the usage event
 	choices        int
+	inputs         int    // of an embedding request
 	hasOutputLimit bool   // the client set a limit on output tokens
 	body           []byte // as sent to engines
 	hints          routingHints
+	// logProbabilities is the number of log probabilities that the client wants for each token, with that
+	// of the token itself.
+	logProbabilities int
 }
 
 // routingHints are the properties of a request that the routing policy uses.
@@ -108,10 +113,11 @@
 	if a.stream {
 		return paramError{"stream", "embeddings are not streamed"}
 	}
-	tokens, _, err := countPrompts(f.get("input"), "input", io.Discard)
+	tokens, inputs, err := countPrompts(f.get("input"), "input", io.Discard)
 	if err != nil {
 		return err
 	}
+	a.inputs = inputs
 	a.hints = routingHints{promptTokens: tokens, maxOutputTokens: 1}
 	a.body = f.replace(nil)
 	return nil
@@ -134,6 +140,7 @@
 		return err
 	}
 	a.hints.maxOutputTokens = min(limit*a.choices, maxOutputTokens)
+	a.logProbabilities = logProbabilities(f)
 	a.hints.session = hex.EncodeToString(session.Sum(nil)[:8])
 	options, err := streamOptions(f, a)
 	if err != nil {
@@ -198,6 +205,20 @@
 	return o.replace(map[string][]byte{"include_usage": []byte("true")}, "include_usage"), nil
 }
 
+// logProbabilities returns the number of log probabilities for each token. Chats have a flag and a number,
+// completions a number. Values that engines reject count as none.
+func logProbabilities(f *fields) int {
+	logprobs := f.get("logprobs")
+	alternatives, is := jsonscan.Int(logprobs)
+	if !is && string(logprobs) != "true" {
+		return 0
+	}
+	if !is {
+		alternatives, _ = jsonscan.Int(f.get("top_logprobs"))
+	}
+	return 1 + min(alternatives, maxAlternatives)
+}
+
 // outputLimit returns the limit on the length of one choice, in tokens.
 func outputLimit(f *fields, a *apiRequest) (int, error) {
 	limit := defaultOutputTokens
--- a/internal/openai/responses_encoder.go
+++ b/internal/openai/responses_encoder.go
@@ -23,7 +23,8 @@
 	toolCalls    map[int]*outputItem // by tool call index
 	finishReason string
 	usage        jsoniter.RawMessage
-	size         int
+	size         int  // bytes of events
+	held         int  // approximate memory of items, in bytes
 	streaming    bool // the client gets events, not a single object
 	state        resume.Progress
 }
@@ -38,6 +39,7 @@
 func (t *responsesEncoder) progress() *resume.Progress { return &t.state }
 
 func (t *responsesEncoder) complete() bool  { return false }
+func (t *responsesEncoder) heldBytes() int  { return t.held }
 func (t *responsesEncoder) discardPartial() { t.scanner = sse.Scanner{} }
 
 // nextAttempt discards the answer received so far. No part of it has been sent: an answer with typed
@@ -192,6 +194,7 @@
 
 // addDelta adds the content, refusal and tool calls of a chunk to their output items.
 func (t *responsesEncoder) addDelta(d chatDelta) error {
+	t.held += len(d.Content) + len(d.Refusal)
 	if d.Content != "" {
 		t.appendText(textPart, d.Content)
 	}
@@ -209,6 +212,7 @@
 
 // addToolCall adds a part of a tool call. The first part of a call creates its output item.
 func (t *responsesEncoder) addToolCall(call toolCallDelta) {
+	t.held += len(call.Function.Name) + len(call.Function.Arguments)
 	it := t.toolCalls[call.Index]
 	if it == nil {
 		it = t.addItem(functionCallItem)
@@ -229,6 +233,7 @@
 	prefix := map[string]string{messageItem: "msg_", functionCallItem: "fc_"}[kind]
 	it := &outputItem{id: prefix + requestID(t.metadata.id) + "_" + strconv.Itoa(len(t.items)), kind: kind, index: len(t.items)}
 	t.items = append(t.items, it)
+	t.held += outputItemBytes
 	return it
 }
 
--- a/internal/openai/rewrite_test.go
+++ b/internal/openai/rewrite_test.go
@@ -189,7 +189,7 @@
 		`{"choices":[{"index":1,"delta":{"content":"w\u00e9"},"finish_reason":null}]}`, `{"choices":[{"index":1,"delta":{"content":"!"},"finish_reason":"stop"}]}`,
 		`{"choices":[],"usage":{"prompt_tokens":3}}`,
 	}
-	w := &collector{metadata: testMetadata}
+	w := newCollector(testMetadata)
 	for _, e := range events {
 		if _, err := w.translate(nil, []byte("data: "+e+"\r\n\r\n")); err != nil {
 			t.Fatal(err)
--- a/internal/openai/rewriter.go
+++ b/internal/openai/rewriter.go
@@ -38,6 +38,7 @@
 func (r *rewriter) contentType() string        { return eventStream }
 func (r *rewriter) progress() *resume.Progress { return &r.state }
 func (r *rewriter) complete() bool             { return r.state.StreamEnded() }
+func (r *rewriter) heldBytes() int             { return 0 }
 func (r *rewriter) discardPartial()            { r.scanner = sse.Scanner{} }
 func (r *rewriter) nextAttempt()               { r.state.PrepareNextAttempt() }
 
