Lock files that two processes of a gateway change

Cause: of two processes that read, changed and replaced the file of ejections at one moment, the later rename dropped the other's change; the locks around that were each process's own.

Change: files.Update locks a file beside it (flock), reads, changes, syncs and renames. Ejections, ready marks, start claims and incarnations use it.

--- a/internal/ejectionfile/process.go
+++ b/internal/ejectionfile/process.go
@@ -40,21 +40,41 @@
 	for _, path := range []string{s.ejectionsPath, s.readyPath, s.claimPath} {
 		errs = append(errs, files.RemoveStale(path))
 	}
-	for _, path := range []string{s.claimPath, s.readyPath} {
+	for _, path := range []string{s.readyPath, s.claimPath} {
 		recorded, err := readProcess(path)
-		switch {
-		case err == nil && !recorded.Started.Before(self.Started):
-			self.Started = recorded.Started.Add(1)
-		case err != nil && !errors.Is(err, fs.ErrNotExist):
+		if self, err = self.after(recorded, err); err != nil {
 			errs = append(errs, err)
 		}
 	}
-	errs = append(errs, writeProcess(s.claimPath, self))
-	return self, errors.Join(errs...)
+	err := files.Update(s.claimPath, maxFileBytes, func(content []byte, err error) ([]byte, error) {
+		claimed, err := parseProcess(s.claimPath, content, err) // again, as it may have changed meanwhile
+		self, _ = self.after(claimed, err)
+		return self.format(), nil
+	})
+	return self, errors.Join(append(errs, err)...)
 }
 
-// MarkReady writes the ready mark of self, which records that self is ready to serve.
-func (s *Store) MarkReady(self Process) error { return writeProcess(s.readyPath, self) }
+// after returns p with a start time after that of a recorded process, which was read with the given error.
+func (p Process) after(recorded Process, err error) (Process, error) {
+	if err == nil && !recorded.Started.Before(p.Started) {
+		p.Started = recorded.Started.Add(1)
+	}
+	if errors.Is(err, fs.ErrNotExist) {
+		err = nil
+	}
+	return p, err
+}
+
+// MarkReady writes the ready mark of self, which records that self is ready to serve, unless the mark is
+// that of a process that started later.
+func (s *Store) MarkReady(self Process) error {
+	return files.Update(s.readyPath, maxFileBytes, func(content []byte, err error) ([]byte, error) {
+		if ready, err := parseProcess(s.readyPath, content, err); err == nil && self.SupersededBy(ready) {
+			return nil, nil
+		}
+		return self.format(), nil
+	})
+}
 
 // ReadyProcess returns the process that was the last to write a ready mark; false if there is no mark or
 // it can't be read.
@@ -63,15 +83,19 @@
 	return process, err == nil
 }
 
-// writeProcess writes the start time of p, in nanoseconds of Unix time, and its process ID.
-func writeProcess(path string, p Process) error {
-	return files.WriteAtomic(path, fmt.Appendf(nil, "%d %d\n", p.Started.UnixNano(), p.PID))
-}
+// format returns the start time of p, in nanoseconds of Unix time, and its process ID.
+func (p Process) format() []byte { return fmt.Appendf(nil, "%d %d\n", p.Started.UnixNano(), p.PID) }
 
-// readProcess reads a file written by writeProcess. It rejects a truncated file with an error that wraps
-// files.ErrDamaged, since cut-off numbers would identify an earlier or a later process.
+// readProcess reads a file with the format of Process.format.
 func readProcess(path string) (Process, error) {
 	content, err := files.Read(path, maxFileBytes)
+	return parseProcess(path, content, err)
+}
+
+// parseProcess parses the content of the file at path, which was read with the given error. It rejects a
+// truncated file with an error that wraps files.ErrDamaged, since cut-off numbers would identify an earlier
+// or a later process.
+func parseProcess(path string, content []byte, err error) (Process, error) {
 	if err != nil {
 		return Process{}, err
 	}
--- a/internal/files/files.go
+++ b/internal/files/files.go
@@ -1,4 +1,4 @@
-// Package files reads small files, and replaces them atomically.
+// Package files reads small files, and replaces them atomically, also where several processes change one.
 package files
 
 import (
--- a/internal/operate/ejections.go
+++ b/internal/operate/ejections.go
@@ -88,18 +88,21 @@
 	return h.pendingWritten, err
 }
 
-// writePending merges the pending changes into the content of the file, and applies the result to the
-// core. h.mu must be held.
+// writePending merges the pending changes into the content of the file, which no other process changes
+// meanwhile, and applies the result to the core. h.mu must be held.
 func (h *Handler) writePending() error {
-	names, _, err := h.Store.Read()
-	if err != nil && !errors.Is(err, files.ErrDamaged) {
-		return err
-	}
-	if err != nil { // the ejections in force replace the damaged content
-		names = h.Core.Ejected()
-	}
-	names = withChanges(names, h.pending)
-	if err := h.Store.Write(names); err != nil {
+	var names []string
+	err := h.Store.Update(func(stored []string, err error) ([]string, error) {
+		if err != nil && !errors.Is(err, files.ErrDamaged) {
+			return nil, err
+		}
+		if err != nil { // the ejections in force replace the damaged content
+			stored = h.Core.Ejected()
+		}
+		names = withChanges(stored, h.pending)
+		return names, nil
+	})
+	if err != nil {
 		return err
 	}
 	h.Core.SetEjected(names)
