Require all choices that a request asks for before its answer is complete

Cause: resume.Progress knew the choices that had begun, not those that the request asks for, so an answer cut between two choices was ended, and replayed, as though whole.

--- a/decide/resume/answer.go
+++ b/decide/resume/answer.go
@@ -1,34 +1,30 @@
 package resume
 
 // Progress is the progress of an answer, as recorded from the events of its stream. The zero value is the
-// progress of an answer without any event.
+// progress of an answer of one choice without any event.
 type Progress struct {
-	choices        map[int]bool // started choices by index; the value is whether the choice has ended
-	openChoices    int          // number of choices that have started and not ended
-	anyChoiceEnded bool         // at least one choice has ended
-	streamEnded    bool         // the stream's end marker has been received
-	sentEvents     int          // number of events sent to the client
-	text           []byte       // text of the first choice so far
-	textEvents     int          // number of events with text, an approximation of the number of tokens
-	otherContent   bool         // the client was sent content other than text of the first choice
+	expectedChoices int          // number of choices that the request asks for; 0 for one
+	choices         map[int]bool // started choices by index; the value is whether the choice has ended
+	endedChoices    int          // number of choices that have ended
+	streamEnded     bool         // the stream's end marker has been received
+	sentEvents      int          // number of events sent to the client
+	text            []byte       // text of the first choice so far
+	textEvents      int          // number of events with text, an approximation of the number of tokens
+	otherContent    bool         // the client was sent content other than text of the first choice
 }
 
+// ExpectChoices sets the number of choices that the request asks for.
+func (p *Progress) ExpectChoices(n int) { p.expectedChoices = n }
+
 // RecordChoice records an event of a choice and whether the event ends the choice.
 func (p *Progress) RecordChoice(index int, end bool) {
-	ended, started := p.choices[index]
-	switch {
-	case !started:
-		if p.choices == nil {
-			p.choices = map[int]bool{}
-		}
-		if p.choices[index] = end; !end {
-			p.openChoices++
-		}
-	case end && !ended:
-		p.choices[index] = true
-		p.openChoices--
+	if p.choices == nil {
+		p.choices = map[int]bool{}
+	}
+	ended := p.choices[index]
+	if p.choices[index] = ended || end; end && !ended {
+		p.endedChoices++
 	}
-	p.anyChoiceEnded = p.anyChoiceEnded || end
 }
 
 // RecordStreamEnd records the stream's end marker.
@@ -61,14 +57,20 @@
 // anything other than text of the first choice, such as a tool call or another choice.
 func (p *Progress) RecordOtherContent() { p.otherContent = true }
 
-// Complete reports whether the answer is complete. Engines may omit the stream's end marker, or fail before
-// sending it. Without the marker, the answer is complete if every started choice has ended.
-func (p *Progress) Complete() bool { return p.streamEnded || p.anyChoiceEnded && p.openChoices == 0 }
+// Complete reports whether the answer is complete: each choice that the request asks for, and each that has
+// started, has ended. Engines may omit the stream's end marker, or fail before sending it. For a single
+// choice the marker counts as its end.
+func (p *Progress) Complete() bool {
+	if p.streamEnded && p.expectedChoices <= 1 {
+		return true
+	}
+	return p.endedChoices >= max(1, p.expectedChoices) && p.endedChoices == len(p.choices)
+}
 
 // PrepareNextAttempt prepares for the stream of another engine, which continues the answer. If no event has
 // been sent to the client, it resets the progress, because the answer starts from the beginning.
 func (p *Progress) PrepareNextAttempt() {
 	if p.sentEvents == 0 {
-		*p = Progress{}
+		*p = Progress{expectedChoices: p.expectedChoices}
 	}
 }
--- a/decide/resume/resume_test.go
+++ b/decide/resume/resume_test.go
@@ -68,8 +68,19 @@
 		"one of two choices":             {func(p *Progress) { p.RecordChoice(1, false); p.RecordChoice(0, true) }, false},
 		"both choices":                   {func(p *Progress) { p.RecordChoice(1, false); p.RecordChoice(0, true); p.RecordChoice(1, true) }, true},
 		"end marker of the stream":       {func(p *Progress) { p.RecordChoice(0, false); p.RecordStreamEnd() }, true},
-		"next attempt, nothing sent":     {func(p *Progress) { p.RecordChoice(0, true); p.PrepareNextAttempt() }, false},
-		"next attempt, event sent":       {func(p *Progress) { p.RecordChoice(0, true); p.RecordSent(); p.PrepareNextAttempt() }, true},
+		"one of two expected":            {func(p *Progress) { p.ExpectChoices(2); p.RecordChoice(0, true) }, false},
+		"one of two expected, marker":    {func(p *Progress) { p.ExpectChoices(2); p.RecordChoice(0, true); p.RecordStreamEnd() }, false},
+		"two of two expected":            {func(p *Progress) { p.ExpectChoices(2); p.RecordChoice(1, true); p.RecordChoice(0, true) }, true},
+		"two expected, one open, marker": {func(p *Progress) {
+			p.ExpectChoices(2)
+			p.RecordChoice(0, true)
+			p.RecordChoice(1, false)
+			p.RecordStreamEnd()
+		}, false},
+		"more than expected, one open": {func(p *Progress) { p.ExpectChoices(1); p.RecordChoice(0, true); p.RecordChoice(1, false) }, false},
+		"next attempt, two expected":   {func(p *Progress) { p.ExpectChoices(2); p.PrepareNextAttempt(); p.RecordChoice(0, true) }, false},
+		"next attempt, nothing sent":   {func(p *Progress) { p.RecordChoice(0, true); p.PrepareNextAttempt() }, false},
+		"next attempt, event sent":     {func(p *Progress) { p.RecordChoice(0, true); p.RecordSent(); p.PrepareNextAttempt() }, true},
 	} {
 		progress := &Progress{}
 		if c.record(progress); progress.Complete() != c.want {
--- a/internal/openai/collector.go
+++ b/internal/openai/collector.go
@@ -42,9 +42,14 @@
 func (c *collector) failure(e apiError) []byte  { return e.object() }
 func (c *collector) complete() bool             { return false }
 func (c *collector) discardPartial()            { c.scanner = sse.Scanner{} }
-func (c *collector) nextAttempt()               { *c = *newCollector(c.metadata); c.root.held = &c.held }
 func (c *collector) heldBytes() int             { return c.held }
 
+func (c *collector) nextAttempt() {
+	c.state.PrepareNextAttempt()
+	*c = collector{metadata: c.metadata, state: c.state}
+	c.root.held = &c.held
+}
+
 func (c *collector) translate(dst, p []byte) ([]byte, error) {
 	return dst, c.scanner.Write(p, c.handleEvent)
 }
--- a/internal/openai/front.go
+++ b/internal/openai/front.go
@@ -304,6 +304,12 @@
 
 // newEncoder returns the encoder for a call's answer.
 func newEncoder(a *apiRequest, responses *responsesEncoder, h metadata, contract config.Contract) encoder {
+	e := encoderOf(a, responses, h, contract)
+	e.progress().ExpectChoices(a.choices)
+	return e
+}
+
+func encoderOf(a *apiRequest, responses *responsesEncoder, h metadata, contract config.Contract) encoder {
 	switch {
 	case responses != nil:
 		responses.metadata, responses.streaming = h, a.stream
--- a/internal/openai/rewriter.go
+++ b/internal/openai/rewriter.go
@@ -37,7 +37,7 @@
 
 func (r *rewriter) contentType() string        { return eventStream }
 func (r *rewriter) progress() *resume.Progress { return &r.state }
-func (r *rewriter) complete() bool             { return r.state.StreamEnded() }
+func (r *rewriter) complete() bool             { return r.state.StreamEnded() && r.state.Complete() }
 func (r *rewriter) heldBytes() int             { return 0 }
 func (r *rewriter) discardPartial()            { r.scanner = sse.Scanner{} }
 func (r *rewriter) nextAttempt()               { r.state.PrepareNextAttempt() }
@@ -53,7 +53,7 @@
 // every choice has finished; otherwise the answer is truncated.
 func (r *rewriter) finish(dst []byte) ([]byte, error) {
 	r.out = dst
-	if err := r.scanner.End(r.onEvent); err != nil || r.state.StreamEnded() {
+	if err := r.scanner.End(r.onEvent); err != nil || r.complete() {
 		return r.out, err
 	}
 	if !r.state.Complete() {
@@ -62,6 +62,16 @@
 	return r.writeDone(), nil
 }
 
+// handleDone handles the engine's end marker. An answer that lacks a choice is truncated all the same.
+func (r *rewriter) handleDone() error {
+	r.state.RecordStreamEnd()
+	if !r.state.Complete() {
+		return errTruncated
+	}
+	r.writeDone()
+	return nil
+}
+
 // writeDone appends the [DONE] event that ends a stream.
 func (r *rewriter) writeDone() []byte {
 	r.state.RecordStreamEnd()
@@ -81,8 +91,7 @@
 		return nil
 	}
 	if bytes.Equal(data, doneBytes) {
-		r.writeDone()
-		return nil
+		return r.handleDone()
 	}
 	if r.template.prefixLen > 0 && r.applyTemplate(data) {
 		return nil
