Lift a mark that came with a doubted answer only by a newer trusted one

Cause: the marks of a doubted view were taken without its index, and any trusted view replaced them, also one with a lower index.

Change: such a mark keeps the index (decide/roster/marks.go) and is lifted by a trusted view with a higher one, or after the hold time.

--- a/decide/roster/apply.go
+++ b/decide/roster/apply.go
@@ -39,6 +39,7 @@
 	listed := make(map[string]bool, len(v.Entries))
 	for _, e := range v.Entries {
 		listed[e.ID] = true
+		r.holdMark(now, s, &e, v.Index, trusted)
 		r.upsert(now, s, e, isFirstView && s.addedAtStart)
 	}
 	r.applyMalformedMarks(s, v)
@@ -125,11 +126,14 @@
 	for _, e := range v.Entries {
 		listed[e.ID] = true
 		if l := s.listings[e.ID]; l != nil && e.Mark > l.Mark {
-			l.Mark = e.Mark
-			r.markDirty(e.ID)
+			r.raiseMark(now, s, e.ID, e.Mark, v.Index)
+		}
+	}
+	for id, m := range v.MalformedMarks {
+		if l := s.listings[id]; l != nil && m > l.Mark {
+			r.raiseMark(now, s, id, m, v.Index)
 		}
 	}
-	r.applyMalformedMarks(s, v)
 	hasUnidentified := slices.Contains(v.Malformed, "")
 	for id, l := range s.listings {
 		switch {
@@ -169,9 +173,13 @@
 
 // removeListing removes a source's listing of an engine.
 func (r *Registry) removeListing(s *sourceState, id string) {
-	if l := s.listings[id]; l != nil && !l.missingSince.IsZero() {
+	l := s.listings[id]
+	if l != nil && !l.missingSince.IsZero() {
 		s.missingCount--
 	}
+	if l != nil && l.raised.held {
+		s.heldMarks--
+	}
 	delete(s.listings, id)
 	if e := r.engines[id]; e != nil {
 		delete(e.listings, s.id)
--- a/decide/roster/registry.go
+++ b/decide/roster/registry.go
@@ -28,6 +28,7 @@
 	losses         []time.Time // times of losses of unmarked engines
 	missingCount   int         // listings that are retained though no longer listed
 	missing        bool        // absent from the catalog: removed with its last listing
+	heldMarks      int         // listings whose mark is held; see marks.go
 	distrust       Reason
 	untrustedSince time.Time // zero while the source is trusted
 	deferredView   *View     // the latest untrusted view, applied Policy.HoldTime after deferredSince
@@ -47,6 +48,7 @@
 	absentSince  time.Time // since when untrusted views lack it, so that it is probed; zero if they list it
 	restored     bool      // read from the last good view's file, not yet listed by its source
 	malformed    bool      // its latest entry was malformed
+	raised       raisedMark
 }
 
 // engine is one engine id, reconciled from its listings.
--- a/decide/roster/rules_test.go
+++ b/decide/roster/rules_test.go
@@ -134,6 +134,18 @@
 			{0, observeView(100, "a b~"), "a b~"}, {s, observeView(3, "a! b"), "a!/ b~/"}, {31 * s, tick, "a! b"}},
 		"a stale view sets marks and clears none; the next trusted view replaces all marks": {
 			{0, observeView(100, "a b!"), "a b!"}, {s, observeUntrusted(90, "a~ b", stale), "a~/ b!/"}, {s, observeView(100, "a b!"), "a b!"}},
+		"a mark from an untrusted view is lifted by a newer trusted view only": {
+			{0, observeView(1000, "a b"), "a b"}, {s, observeUntrusted(1010, "a! b~", stale), "a!/ b~/"}, {s / 2, observeView(1005, "a b"), "a! b~"},
+			{s / 2, observeView(1010, "a b"), "a! b~"}, {s, observeView(1011, "a b~"), "a* b~"}, {s / 2, observeView(1012, "a b"), "a* b"}},
+		"a mark that only a malformed entry of an untrusted view has is lifted likewise": {
+			{0, observeView(1000, "a b"), "a b"}, {s, observeUntrusted(1010, "?a! b", leaderless), "a!/ b/"}, {s, observeView(1009, "a b"), "a! b"}, {s / 2, observeView(1011, "a b"), "a* b"}},
+		"a mark from an untrusted view is lifted after the hold time if the index stays below": {
+			{0, observeView(1000, "a b"), "a b"}, {s, observeUntrusted(9000, "a! b", stale), "a!/ b/"}, {s, observeView(1001, "a b"), "a! b"}, {28 * s, tick, "a! b"}, {s, tick, "a* b"}},
+		"a trusted view that has the mark too makes it its own": {
+			{0, observeView(1000, "a b"), "a b"}, {s, observeUntrusted(9000, "a! b", stale), "a!/ b/"}, {s, observeView(1001, "a! b"), "a! b"}, {s, observeView(1002, "a b"), "a* b"}},
+		"a mark from an untrusted view of another catalog is lifted by any view of this one": {
+			{0, observeView(1000, "a b"), "a b"}, {s, observeUntrusted(9000, "a! b", stale), "a!/ b/"},
+			{s, func(reg *Registry, now time.Time) { reg.ResetIndex(llm); observeView(7, "a b")(reg, now) }, "a* b"}},
 		"without a leader known engines are retained": {
 			{0, observeView(100, "a b"), "a b"}, {s, observeUntrusted(100, "", leaderless), "a/ b/"}, {31 * s, tick, "a/ b/"}, {s, observeView(101, "a b"), "a b"}},
 		"an empty registry applies an untrusted view": {
--- a/decide/roster/sources.go
+++ b/decide/roster/sources.go
@@ -92,6 +92,9 @@
 func (r *Registry) ResetIndex(src Source) {
 	if s := r.sources[src]; s != nil {
 		s.index, s.historyChanged, s.deferredView = 0, true, nil
+		for _, l := range s.listings {
+			l.raised.index = 0
+		}
 	}
 }
 
@@ -138,7 +141,7 @@
 	r.evaluateDirty(now)
 }
 
-// Tick applies deferred views after Policy.HoldTime and removes engines that have been unlisted for
+// Tick applies deferred views and held marks after Policy.HoldTime, and removes engines that have been unlisted for
 // Policy.UnlistedTTL.
 func (r *Registry) Tick(now time.Time) {
 	for _, s := range r.sources {
@@ -148,6 +151,7 @@
 		if s.missingCount > 0 {
 			r.expireMissing(now, s)
 		}
+		r.releaseMarks(now, s)
 		if s.missing && len(s.listings) == 0 {
 			delete(r.sources, s.id)
 		}
