Take deregistered engines out within 2 s, many at once and after a lower index too

Cause: a mass loss in trusted lists was taken for a fault of the catalogue without an end, and a list whose index went backwards took nobody out for the hold time.

Change: Policy.ConfirmTime, 1.5 s: a mass loss that no list contradicts, and an engine that lists with a lower index lack for so long, are removed. A lower index with many lost is held as before.

--- a/decide/roster/apply.go
+++ b/decide/roster/apply.go
@@ -20,19 +20,25 @@
 	}
 }
 
-// expireMissing removes the listings that have been missing for Policy.UnlistedTTL.
+// expireMissing removes the listings that trusted views have lacked for Policy.ConfirmTime, and those that
+// have been missing for Policy.UnlistedTTL.
 func (r *Registry) expireMissing(now time.Time, s *sourceState) {
 	for id, l := range s.listings {
-		if !l.missingSince.IsZero() && now.Sub(l.missingSince) >= r.policy.UnlistedTTL {
+		switch {
+		case l.missingSince.IsZero():
+		case s.distrust == Trusted && !l.lostSince.IsZero() && now.Sub(l.lostSince) >= r.policy.ConfirmTime:
+			r.emit(Event{Source: s.id.String(), Engine: id, Message: "loss confirmed, engine removed", Engines: 1, Warn: true})
+			r.removeListing(s, id)
+		case now.Sub(l.missingSince) >= r.policy.UnlistedTTL:
 			r.emit(Event{Source: s.id.String(), Engine: id, Message: "unlisted engine expired", Engines: 1, Warn: true})
 			r.removeListing(s, id)
 		}
 	}
 }
 
-// apply replaces a source's listings by a view. Engines missing from a trusted view are removed, except in a
-// mass loss. Engines missing from an untrusted view are retained and probed, except those that
-// retainedWhenMissing excludes.
+// apply replaces a source's listings by a view. Engines missing from a trusted view are removed; in a mass
+// loss, once it is confirmed. Engines missing from an untrusted view are retained and probed, except those
+// that retainedWhenMissing excludes.
 func (r *Registry) apply(now time.Time, s *sourceState, v View, trusted bool) {
 	isFirstView := !s.observed
 	s.observed = true
@@ -60,6 +66,8 @@
 			r.markDirty(id)
 		case l.missingSince.IsZero():
 			missing = append(missing, id)
+		case trusted && l.lostSince.IsZero() && !l.catalogReset: // an untrusted view lacked it before
+			l.lostSince = now
 		}
 	}
 	s.historyChanged = false
@@ -68,8 +76,8 @@
 	s.index = max(s.index, v.Index)
 }
 
-// handleMissing removes engines that are no longer listed. A mass loss of unmarked engines is more likely to
-// be a fault of the catalog: these engines are retained and probed.
+// handleMissing removes engines that are no longer listed. A mass loss of unmarked engines may be a fault of
+// the catalog: these engines are retained and probed until the loss is confirmed.
 func (r *Registry) handleMissing(now time.Time, s *sourceState, missing []string, trusted bool) {
 	var unmarked []string
 	for _, id := range missing {
@@ -88,6 +96,9 @@
 	}
 	for _, id := range unmarked {
 		s.markMissing(now, s.listings[id])
+		if trusted {
+			s.listings[id].lostSince = now
+		}
 		r.markDirty(id)
 	}
 	if len(unmarked) > 0 {
@@ -95,6 +106,27 @@
 	}
 }
 
+// isCatalogReset reports whether a view with a lower index also lacks many engines. The two together are
+// more likely the loss of the catalog's data than the removal of its engines.
+func (r *Registry) isCatalogReset(s *sourceState, v View) bool {
+	listed := map[string]bool{}
+	for _, e := range v.Entries {
+		listed[e.ID] = true
+	}
+	lost := 0
+	for id, l := range s.listings {
+		if !listed[id] && l.Mark == Clear && l.missingSince.IsZero() {
+			lost++
+		}
+	}
+	return exceedsFraction(lost, len(s.listings), r.policy.MaxSourceLoss)
+}
+
+// exceedsFraction reports whether more than one engine is lost, and more than a fraction of all.
+func exceedsFraction(lost, of int, fraction float64) bool {
+	return lost > 1 && float64(lost) > fraction*float64(of)
+}
+
 // recordLosses records losses of unmarked engines and reports whether the losses within Policy.LossWindow
 // amount to a mass loss. It checks the losses over all sources as well as those of the source, because small
 // services may each lose their only engine.
@@ -105,8 +137,7 @@
 	for range lost {
 		s.losses, r.losses = append(s.losses, now), append(r.losses, now)
 	}
-	exceeds := func(lost, of int, fraction float64) bool { return lost > 1 && float64(lost) > fraction*float64(of) }
-	return exceeds(len(s.losses), ofSource, r.policy.MaxSourceLoss) || exceeds(len(r.losses), ofAll, r.policy.MaxTotalLoss)
+	return exceedsFraction(len(s.losses), ofSource, r.policy.MaxSourceLoss) || exceedsFraction(len(r.losses), ofAll, r.policy.MaxTotalLoss)
 }
 
 // applyMalformedMarks applies the marks that were parsed from malformed entries, if they are more severe.
@@ -168,6 +199,7 @@
 		s.missingCount--
 	}
 	l.Entry, l.lastSeen, l.missingSince, l.restored, l.malformed = e, now, time.Time{}, false, false
+	l.lostSince, l.catalogReset = time.Time{}, false
 	r.markDirty(e.ID)
 }
 
--- a/decide/roster/registry.go
+++ b/decide/roster/registry.go
@@ -45,6 +45,8 @@
 	firstListed  time.Time // zero if the first view of a source added at start had it
 	lastSeen     time.Time // when a view that listed it was applied
 	missingSince time.Time // since when it is retained though not listed; zero if it is listed
+	lostSince    time.Time // since when trusted views lack it, while it is retained
+	catalogReset bool      // it went missing with many others as the index went backwards
 	absentSince  time.Time // since when untrusted views lack it, so that it is probed; zero if they list it
 	restored     bool      // read from the last good view's file, not yet listed by its source
 	malformed    bool      // its latest entry was malformed
--- a/decide/roster/rules_test.go
+++ b/decide/roster/rules_test.go
@@ -130,6 +130,23 @@
 		"an empty view at a lower index is deferred, then probes decide": {
 			{0, observeView(100, "a b c"), "a b c"}, {s, observeView(3, ""), "a/ b/ c/"}, {s, observeProbes(Answered, 1, "a b c"), "a/ b/ c/"},
 			{31 * s, tick, "a/ b/ c/"}, {s, observeProbes(Refused, 2, "b"), "a/ c/"}, {s, observeView(4, "a@7 c@8"), "a c"}},
+		"engines lost in a reset of the catalog stay while later views lack them too": {
+			{0, observeView(100, "a b c"), "a b c"}, {s, observeView(3, ""), "a/ b/ c/"}, {31 * s, tick, "a/ b/ c/"}, {s, observeView(4, ""), "a/ b/ c/"}, {60 * s, tick, "a/ b/ c/"}},
+		"a single outdated view is contradicted by the next one": {
+			{0, observeView(100, "a b c"), "a b c"}, {s, observeView(3, "a"), "a/ b/ c/"}, {s, observeView(101, "a b c"), "a b c"}, {9 * s, tick, "a b c"}},
+		"after the index went backwards a deregistered engine is removed": {
+			{0, observeView(1000, "a b c d~"), "a b c d~"}, {s, observeView(400, "a b c d"), "a/ b/ c/ d~/"}, {s, observeView(401, "a c d"), "a/ b/ c/ d~/"}, {s, tick, "a/ b/ c/ d~/"},
+			{s / 2, tick, "a/ c/ d~/"}, {s, observeView(402, "a b c d"), "a/ c/ d~/"}, {25 * s, tick, "a/ c/ d~/"}, {2 * s, tick, "a b* c d"}},
+		"a mass loss is confirmed when no view contradicts it": {
+			{0, observeView(1, "a b c"), "a b c"}, {s, observeView(2, ""), "a/ b/ c/"}, {s, tick, "a/ b/ c/"}, {s / 2, tick, ""}},
+		"a mass loss is contradicted by the next view": {
+			{0, observeView(1, "a b c"), "a b c"}, {s, observeView(2, ""), "a/ b/ c/"}, {s, observeView(3, "a b c"), "a b c"}, {9 * s, tick, "a b c"}},
+		"a mass loss is not confirmed while the source is in doubt": {
+			{0, observeView(1, "a b c"), "a b c"}, {s, observeView(2, ""), "a/ b/ c/"}, {s, observeFailure(Unreachable), "a/ b/ c/"}, {60 * s, tick, "a/ b/ c/"},
+			{s, observeView(3, "a"), "a b/ c/"}, {0, tick, "a"}},
+		"engines that only untrusted views lack are removed once trusted ones do": {
+			{0, observeView(100, "a b c"), "a b c"}, {s, observeUntrusted(90, "a", stale), "a/ b/ c/"}, {31 * s, tick, "a/ b/ c/"}, {60 * s, tick, "a/ b/ c/"},
+			{s, observeView(101, "a"), "a b/ c/"}, {s, tick, "a b/ c/"}, {s / 2, tick, "a"}},
 		"an untrusted view sets marks and does not clear any": {
 			{0, observeView(100, "a b~"), "a b~"}, {s, observeView(3, "a! b"), "a!/ b~/"}, {31 * s, tick, "a! b"}},
 		"a stale view sets marks and clears none; the next trusted view replaces all marks": {
--- a/decide/roster/sources.go
+++ b/decide/roster/sources.go
@@ -127,6 +127,7 @@
 		if r.retainedWhenMissing(now, s, l) {
 			retained++
 			s.markMissing(now, l)
+			l.lostSince = now
 			r.markDirty(id)
 		} else {
 			r.removeListing(s, id)
@@ -141,10 +142,11 @@
 	r.evaluateDirty(now)
 }
 
-// Tick applies deferred views and held marks after Policy.HoldTime, and removes engines that have been unlisted for
-// Policy.UnlistedTTL.
+// Tick applies deferred views and held marks whose time is over, and removes engines whose loss is confirmed
+// or that have been unlisted for Policy.UnlistedTTL.
 func (r *Registry) Tick(now time.Time) {
 	for _, s := range r.sources {
+		r.removeAbsent(now, s)
 		if s.deferredView != nil && now.Sub(s.deferredSince) >= r.policy.HoldTime {
 			r.applyDeferred(now, s)
 		}
@@ -167,15 +169,34 @@
 	r.evaluateDirty(now)
 }
 
+// removeAbsent removes the engines that views with a lower index have lacked for Policy.ConfirmTime, except
+// after a reset of the catalog. The views are either outdated or of another history of the catalog; only in
+// this respect they count before Policy.HoldTime, as they only take work away.
+func (r *Registry) removeAbsent(now time.Time, s *sourceState) {
+	if s.deferredView == nil || s.distrust != IndexRegressed || r.isCatalogReset(s, *s.deferredView) {
+		return
+	}
+	for id, l := range s.listings {
+		if !l.absentSince.IsZero() && now.Sub(l.absentSince) >= r.policy.ConfirmTime {
+			r.emit(Event{Source: s.id.String(), Engine: id, Message: "loss confirmed, engine removed", Engines: 1, Warn: true})
+			r.removeListing(s, id)
+		}
+	}
+}
+
 // applyDeferred applies a deferred view because no trusted view was observed within Policy.HoldTime. If its
 // index had regressed, the view counts as the new state of the catalog and the source as trusted. Other
 // reasons for not trusting the source remain.
 func (r *Registry) applyDeferred(now time.Time, s *sourceState) {
 	v := *s.deferredView
+	isReset := r.isCatalogReset(s, v)
 	r.emit(Event{Source: s.id.String(), Message: "hold expired, doubted view applied", Reason: s.distrust, Engines: len(v.Entries), Warn: true})
 	r.apply(now, s, v, false)
 	s.index, s.deferredView = v.Index, nil
 	if s.distrust == IndexRegressed {
+		for _, l := range s.listings {
+			l.catalogReset = l.catalogReset || isReset && !l.missingSince.IsZero()
+		}
 		r.markTrusted(now, s)
 	}
 }
--- a/decide/roster/types.go
+++ b/decide/roster/types.go
@@ -161,6 +161,9 @@
 type Policy struct {
 	// HoldTime is how long an untrusted view is deferred before it is applied.
 	HoldTime time.Duration
+	// ConfirmTime is how long a loss that may be a fault of the catalog waits for a view that contradicts it:
+	// a mass loss, or the absence of an engine from views with a lower index.
+	ConfirmTime time.Duration
 	// MaxAge is the longest time since the responding server was in contact with the leader. A view with a
 	// longer one is not trusted.
 	MaxAge time.Duration
@@ -188,7 +191,7 @@
 // DefaultPolicy returns the default thresholds, for settings that are absent from the operator's file.
 func DefaultPolicy() Policy {
 	return Policy{
-		HoldTime: 30 * time.Second, MaxAge: 10 * time.Second, MaxSourceLoss: 0.3, MaxTotalLoss: 0.3, LossWindow: 5 * time.Second,
+		HoldTime: 30 * time.Second, ConfirmTime: 1500 * time.Millisecond, MaxAge: 10 * time.Second, MaxSourceLoss: 0.3, MaxTotalLoss: 0.3, LossWindow: 5 * time.Second,
 		UnlistedTTL: 15 * time.Minute, ConfirmationTTL: 10 * time.Minute, FlapTime: time.Second,
 		UrgentProbeInterval: 250 * time.Millisecond, ProbeInterval: 2 * time.Second,
 	}
