End a silent chat stream after 4.5 s, or after its contract's silence_ms

Cause: the limit on an engine's silence was an option of each front's pool; the chat API's was 60 s.

Change: contracts have silence_ms, 4500 by default, which the payload takes to the stream; the pool's limit, 60 s, remains for embeddings.

--- a/cmd/wellgw/chatgateway.go
+++ b/cmd/wellgw/chatgateway.go
@@ -18,7 +18,6 @@
 
 // Timeouts and sizes of the chat API.
 const (
-	chatStreamSilenceTimeout = time.Minute // a model may pause this long between two events
 	// With hundreds of megabytes available, more frequent collection costs more than it saves.
 	chatGCPercent  = 400
 	chatReadBuffer = 16 << 10 // bytes per engine connection; data that arrives together is read in one call
@@ -42,7 +41,7 @@
 		log: log, listen: o.Listen,
 		limits: o.Limits, gcPercent: chatGCPercent, settings: o.Settings(), seed: uint64(time.Now().UnixNano()),
 		coreLimits: core.Limits{IgnoresHeldState: func(kind string) bool { return kind == config.RoleOpenAI }},
-		pool:       upstream.Options{ReadBuffer: chatReadBuffer, StreamSilenceTimeout: chatStreamSilenceTimeout},
+		pool:       upstream.Options{ReadBuffer: chatReadBuffer, StreamSilenceTimeout: config.MaxSilence},
 		dialect:    g.dialect, newFront: g.newFront, newDirectory: g.newDirectory,
 		status: &status{},
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -21,8 +21,12 @@
 	DeadlineMS int64   `json:"deadline_ms"` // of the first token
 	Worth      float64 `json:"worth"`       // priority weight
 	Continue   int     `json:"continue"`    // limit of continuations at another engine after a break; free only
+	SilenceMS  int64   `json:"silence_ms"`  // longest silence of an engine between two events; 0 for the default
 }
 
+// MaxSilence is the longest silence of an engine that a contract may allow.
+const MaxSilence = time.Minute
+
 // The effects of a contract.
 const (
 	EffectFree       = "free"
@@ -32,6 +36,14 @@
 // Deadline returns the maximum time that a caller waits for the first token.
 func (c Contract) Deadline() time.Duration { return time.Duration(c.DeadlineMS) * time.Millisecond }
 
+// Silence returns how long an engine may take for an event after the first one.
+func (c Contract) Silence() time.Duration {
+	if c.SilenceMS == 0 {
+		return defaultSilence
+	}
+	return time.Duration(c.SilenceMS) * time.Millisecond
+}
+
 // Model is a model's name in requests and the contract that it is served under.
 type Model struct {
 	Name     string `json:"name"`
@@ -104,6 +116,7 @@
 const (
 	defaultMemoryTokens   = 200_000
 	defaultConnIdle       = 15 * time.Second
+	defaultSilence        = 4500 * time.Millisecond // clients count a stream as lost 5 s after its last event
 	defaultConnectTimeout = 250 * time.Millisecond
 	defaultDeadlineSlack  = 16 * time.Millisecond
 )
@@ -215,6 +228,8 @@
 			return nil, fieldError(elementPath("contracts", i, ""), "aim_ms must be above 0 and deadline_ms no less")
 		case c.Continue < 0 || c.Continue > 0 && c.Effect != EffectFree:
 			return nil, fieldError(elementPath("contracts", i, "continue"), "only a free contract lets an answer go on at another engine")
+		case c.SilenceMS < 0 || c.Silence() > MaxSilence:
+			return nil, fieldError(elementPath("contracts", i, "silence_ms"), "must be from 0, the default, to %d", MaxSilence.Milliseconds())
 		}
 		contracts[c.Name] = true
 	}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -21,6 +21,8 @@
 	Header                [][2]string // of the client's request
 	Unary                 bool        // the response is one body, not an event stream
 	BufferUntilFirstToken bool        // events before the first token may be buffered until it arrives
+	// EventTimeout is how long a stream may take for an event after the first; 0 for the transport's limit.
+	EventTimeout time.Duration
 }
 
 // Verdict is the kind of final answer that a request gets.
--- a/internal/openai/call.go
+++ b/internal/openai/call.go
@@ -47,6 +47,9 @@
 		ClientRequestID: id, Arrived: time.Now(),
 		Payload: core.Payload{Method: http.MethodPost, Target: a.path, Body: a.body, Unary: a.path == embeddingPath, BufferUntilFirstToken: !c.atMostOnce},
 	}
+	if !request.Payload.Unary {
+		request.Payload.EventTimeout = c.contract.Silence()
+	}
 	if id == c.metadata.id {
 		request.Arrived = c.arrived
 	}
--- a/internal/openai/stalledstream_test.go
+++ b/internal/openai/stalledstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -37,29 +38,40 @@
 		"response in one piece": {responsePath, `{"model":"orders","input":"x"}`, streamed, false},
 		"embedding":             {embeddingPath, `{"model":"parts","input":"x"}`, whole, false},
 	} {
-		t.Run(name, func(t *testing.T) {
-			e := enginetest.NewEngine(t, func(enginetest.Call) string { return c.answer })
-			members := []core.Endpoint{{EngineInfo: routing.EngineInfo{Name: "e1", Kind: config.RoleOpenAI, Zone: "a", Weight: 1}, Addr: e.Addr}}
-			url, _, _ := serveFrontWithPool(t, operator, members, upstream.Options{ConnectTimeout: time.Second, ServerIdleTimeout: time.Minute, StreamSilenceTimeout: silenceTimeout})
-			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+c.path, strings.NewReader(c.body))
-			if err != nil {
-				t.Fatal(err)
+		for limit, of := range map[string]struct {
+			file string
+			pool time.Duration
+		}{
+			"of all":           {operator, silenceTimeout},
+			"of the contracts": {strings.ReplaceAll(operator, `"effect":`, fmt.Sprintf(`"silence_ms": %d, "effect":`, silenceTimeout.Milliseconds())), time.Minute},
+		} {
+			if c.path == embeddingPath && of.pool != silenceTimeout {
+				continue // it has no events
 			}
-			req.Header.Set("Authorization", "Bearer k1")
-			client := http.Client{Timeout: patience}
-			resp, err := client.Do(req)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer resp.Body.Close()
-			text, err := io.ReadAll(resp.Body)
-			errorEvent := strings.Contains(string(text), "error")
-			if c.streams && (resp.StatusCode != http.StatusOK || !errors.Is(err, io.ErrUnexpectedEOF) || !errorEvent) {
-				t.Errorf("status %d, %v: %s; want a stream that breaks after an error", resp.StatusCode, err, text)
-			}
-			if !c.streams && (resp.StatusCode != http.StatusBadGateway || err != nil || !errorEvent) {
-				t.Errorf("status %d, %v: %s; want an error of status 502", resp.StatusCode, err, text)
-			}
-		})
+			t.Run(name+", limit "+limit, func(t *testing.T) {
+				e := enginetest.NewEngine(t, func(enginetest.Call) string { return c.answer })
+				members := []core.Endpoint{{EngineInfo: routing.EngineInfo{Name: "e1", Kind: config.RoleOpenAI, Zone: "a", Weight: 1}, Addr: e.Addr}}
+				url, _, _ := serveFrontWithPool(t, of.file, members, upstream.Options{ConnectTimeout: time.Second, ServerIdleTimeout: time.Minute, StreamSilenceTimeout: of.pool})
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+c.path, strings.NewReader(c.body))
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Header.Set("Authorization", "Bearer k1")
+				client := http.Client{Timeout: patience}
+				resp, err := client.Do(req)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer resp.Body.Close()
+				text, err := io.ReadAll(resp.Body)
+				errorEvent := strings.Contains(string(text), "error")
+				if c.streams && (resp.StatusCode != http.StatusOK || !errors.Is(err, io.ErrUnexpectedEOF) || !errorEvent) {
+					t.Errorf("status %d, %v: %s; want a stream that breaks after an error", resp.StatusCode, err, text)
+				}
+				if !c.streams && (resp.StatusCode != http.StatusBadGateway || err != nil || !errorEvent) {
+					t.Errorf("status %d, %v: %s; want an error of status 502", resp.StatusCode, err, text)
+				}
+			})
+		}
 	}
 }
--- a/internal/upstream/eventwait.go
+++ b/internal/upstream/eventwait.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"wellgw/internal/core"
 )
 
 // eventWait limits how long a stream waits for the next event of its engine. Bytes that complete no
@@ -16,6 +18,15 @@
 	deadlineSet bool          // deadline is in force, in place of that of the response head
 }
 
+// eventTimeout returns the limit for a response: the shorter one of the pool's and the payload's. A limit
+// of 0 is none.
+func eventTimeout(ofPool time.Duration, p core.Payload) time.Duration {
+	if p.EventTimeout > 0 && (ofPool == 0 || p.EventTimeout < ofPool) {
+		return p.EventTimeout
+	}
+	return ofPool
+}
+
 // beginRead sets the connection's deadline for a read that begins now. A deadline that is early by a
 // small part of the limit stays, which saves a system call.
 func (w *eventWait) beginRead(connection net.Conn, now time.Time) {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -65,7 +65,7 @@
 func (client *Client) newStream(t *attemptHandle, c *conn, resp *http.Response, p core.Payload, dialect Dialect) *stream {
 	s := &stream{
 		attemptHandle: t, conn: c, resp: resp, body: resp.Body, dialect: dialect,
-		wait: eventWait{limit: client.pool.opt.StreamSilenceTimeout}, unary: p.Unary, tail: newStreamTail(),
+		wait: eventWait{limit: eventTimeout(client.pool.opt.StreamSilenceTimeout, p)}, unary: p.Unary, tail: newStreamTail(),
 	}
 	s.opener, _ = dialect.(Opener)
 	if slices.Contains(resp.TransferEncoding, "chunked") {
