Pass on answers whose first event is over 64 KiB

Cause: the limit on what an engine sends before its answer begins was compared with all pending bytes once the answer had begun, too.

Change: it applies before the answer begins, and is 512 KiB, as between two events.

Measured: "first event of 200 KiB" of TestOutcomes fails on the former code.

--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -50,6 +50,7 @@
 // Limits on the size of responses and the time to read them.
 const (
 	maxHead          = 64 << 10    // bytes of a response head, with the part of the body that arrives with it
+	maxPreamble      = 512 << 10   // bytes of a stream before its answer begins
 	maxResponse      = 64 << 10    // bytes of a response that is not a stream
 	headTimeout      = time.Second // to read a response head after its first byte, and to read a short body
 	lastChunkTimeout = time.Second // from the last event to the last chunk
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -82,8 +82,8 @@
 	buf := preambleBuffers.Get().(*[preambleSize]byte)
 	defer preambleBuffers.Put(buf)
 	for s.err == nil && !s.answerBegun {
-		if s.readMore(buf[:], p); len(s.pending) > maxHead {
-			s.err = errNotEventStream // an unlimited series of comments
+		if s.readMore(buf[:], p); !s.answerBegun && len(s.pending) > maxPreamble {
+			s.err = errNotEventStream // an unlimited series of comments, or of events before the first token
 		}
 	}
 	s.opener = nil
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -42,6 +42,7 @@
 func TestOutcomes(t *testing.T) {
 	notRunHeader := "X-Not-Run: 1\r\n"
 	event := enginetest.Chunk("data: x\n\n")
+	large := strings.Repeat("y", 200<<10)
 	for _, c := range []struct {
 		name, script, text string
 		want               core.Result
@@ -71,6 +72,8 @@
 		{"break in the line of the first event", enginetest.StreamHead + "9\r\ndata: x" + enginetest.Cut, "", core.Result{Status: routing.StatusReset}},
 		{"break before the end of the first event", enginetest.StreamHead + enginetest.Chunk("data: x\n") + enginetest.Cut, "", core.Result{Status: routing.StatusReset}},
 		{"first event in several chunks", enginetest.StreamHead + enginetest.Chunk("da") + enginetest.Chunk("ta: x\n") + enginetest.Chunk("\n") + "0\r\n\r\n", "data: x\n\n", core.Result{Status: routing.StatusServed}},
+		{"first event of 200 KiB", enginetest.StreamHead + enginetest.Chunk("data: "+large+"\n\n") + event + "0\r\n\r\n", "data: " + large + "\n\ndata: x\n\n", core.Result{Status: routing.StatusServed}},
+		{"comments without an event", enginetest.StreamHead + strings.Repeat(enginetest.Chunk(": "+large+"\n"), 4) + enginetest.Hang, "", core.Result{Status: routing.StatusError}},
 		{"last event without an empty line", enginetest.StreamHead + enginetest.Chunk("data: x") + "0\r\n\r\n", "data: x", core.Result{Status: routing.StatusServed}},
 		{"no event", enginetest.StreamHead + "0\r\n\r\n", "", core.Result{Status: routing.StatusError}},
 		{"break after an event", enginetest.StreamHead + event + enginetest.Cut, "data: x\n\n", core.Result{Status: routing.StatusReset}},
