Repeat an answer in the test of foreign answers only within the delay before reuse

Cause: on a busy machine the repeat could leave after the gateway's 30 ms, which HTTP/1.1 cannot tell from the next answer, so that the test could fail without a fault.

--- a/internal/enginetest/engine.go
+++ b/internal/enginetest/engine.go
@@ -42,9 +42,17 @@
 // pauseMark separates the parts of a script: text and pause durations alternate.
 const pauseMark = "\x00pause"
 
+// limitMark separates a pause's duration from its limit.
+const limitMark = "\x00limit"
+
 // Pause in a script delays the bytes after it by d.
 func Pause(d time.Duration) string { return pauseMark + d.String() + pauseMark }
 
+// PauseWithin is Pause that ends the script if more than limit has passed by then, as on a busy machine.
+func PauseWithin(d, limit time.Duration) string {
+	return pauseMark + d.String() + limitMark + limit.String() + pauseMark
+}
+
 // writeScript writes a script with its pauses. It returns early when ctx ends.
 func writeScript(ctx context.Context, c net.Conn, script string) error {
 	for i, part := range strings.Split(script, pauseMark) {
@@ -54,19 +62,35 @@
 			}
 			continue
 		}
-		d, err := time.ParseDuration(part)
-		if err != nil {
+		late, err := pause(ctx, part)
+		if late || err != nil {
 			return err
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(d):
-		}
 	}
 	return nil
 }
 
+// pause waits for the duration of a pause in a script. It reports whether more than the pause's limit has
+// passed.
+func pause(ctx context.Context, text string) (late bool, err error) {
+	begin := time.Now()
+	duration, limit, limited := strings.Cut(text, limitMark)
+	d, err := time.ParseDuration(duration)
+	if err != nil {
+		return false, err
+	}
+	select {
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-time.After(d):
+	}
+	if !limited {
+		return false, nil
+	}
+	longest, err := time.ParseDuration(limit)
+	return time.Since(begin) > longest, err
+}
+
 // NewEngine starts an engine that is stopped at the end of the test.
 func NewEngine(t testing.TB, script func(Call) string) *Engine {
 	t.Helper()
